--- /dev/null
+++ b/src/kingcupslip/cli/report_view.cpp
@@ -0,0 +1,133 @@
+// Tables from JSON answers.
+#include "kingcupslip/cli/report_view.hpp"
+
+#include "kingcupslip/cli/text_table.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace kingcupslip {
+
+namespace {
+
+using nlohmann::json;
+
+std::string text_of(const json& v) {
+  return v.is_string() ? v.get<std::string>() : v.dump();
+}
+
+std::string field(const json& object, const char* key) {
+  return object.contains(key) ? text_of(object[key]) : "-";
+}
+
+std::string counts_text(const json& counts) {
+  std::string out;
+  for (json::const_iterator it = counts.begin(); it != counts.end(); ++it) {
+    out += (out.empty() ? "" : " ") + it.key() + "=" + it.value().dump();
+  }
+  return out.empty() ? "-" : out;
+}
+
+std::uint64_t sum_of(const json& counts) {
+  std::uint64_t n = 0;
+  for (const json& it : counts) {
+    n += it.get<std::uint64_t>();
+  }
+  return n;
+}
+
+std::vector<text_row> rows_of(const json& list,
+                              const std::vector<const char*>& keys) {
+  std::vector<text_row> out;
+  for (const json& it : list) {
+    text_row row;
+    for (const char* key : keys) {
+      row.push_back(field(it, key));
+    }
+    out.push_back(row);
+  }
+  return out;
+}
+
+} // namespace
+
+std::string report_as_table(const std::string& json_text) {
+  const json report = json::parse(json_text);
+  std::vector<text_row> rows;
+  for (const json& it : report["rows"]) {
+    const std::string team = field(it, "team");
+    rows.push_back({team.empty() ? "(none)" : team, field(it, "route"),
+                    field(it, "asked"), field(it, "ran"),
+                    std::to_string(sum_of(it["refused"])),
+                    field(it, "may_have_run"), counts_text(it["refused"]),
+                    counts_text(it["uncertain"]),
+                    counts_text(it["retried"])});
+  }
+  std::string out = render_table({"TEAM", "ROUTE", "ASKED", "RAN", "NOT-RUN",
+                                  "MAY-HAVE-RUN", "NOT-RUN BECAUSE",
+                                  "MAY-HAVE-RUN BECAUSE", "RETRIED BECAUSE"},
+                                 rows);
+  if (report["unreachable"].empty()) {
+    out += "All members answered.\n";
+  } else {
+    out += "Could not be asked: " + report["unreachable"].dump() + "\n";
+  }
+  if (!report.value("table_read", false)) {
+    out += "The table could not be read: departed nodes are missing.\n";
+  }
+  return out;
+}
+
+std::string status_as_table(const std::string& json_text) {
+  const json status = json::parse(json_text);
+  std::string out = "node " + field(status, "node") +
+                    ", configuration sequence " +
+                    field(status, "config_sequence") + ", confirmed " +
+                    field(status, "config_age_s") + " s ago\n";
+  out += render_table(
+      {"NODE", "DATA CENTRE", "SERVICE", "STATE", "READY", "LIMIT",
+       "KEY SLOTS", "CONFIG"},
+      rows_of(status["members"],
+              {"node", "data_centre", "service", "state", "ready", "limit",
+               "key_slots", "config_sequence"}));
+  return out;
+}
+
+std::string contracts_as_table(const std::string& json_text) {
+  std::vector<text_row> rows;
+  for (const json& it : json::parse(json_text)) {
+    rows.push_back({field(it, "team"), field(it, "rate_per_s"),
+                    field(it, "burst"), field(it, "weight"),
+                    field(it, "retries"),
+                    std::to_string(it["routes"].size())});
+  }
+  return render_table({"TEAM", "RATE/S", "BURST", "WEIGHT", "RETRIES",
+                       "ROUTES"},
+                      rows);
+}
+
+std::string keys_as_table(const std::string& json_text) {
+  return render_table({"ID", "TEAM", "WITHDRAWN"},
+                      rows_of(json::parse(json_text),
+                              {"id", "team", "withdrawn"}));
+}
+
+std::string fields_as_table(const std::string& json_text) {
+  const json value = json::parse(json_text, nullptr, false);
+  std::string out;
+  if (value.is_object()) {
+    for (json::const_iterator it = value.begin(); it != value.end(); ++it) {
+      out += it.key() + ": " + text_of(it.value()) + "\n";
+    }
+  } else if (value.is_array()) {
+    for (const json& it : value) {
+      out += text_of(it) + "\n";
+    }
+  } else {
+    out = json_text + "\n";
+  }
+  return out;
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/cli/yaml_to_json.cpp
@@ -0,0 +1,56 @@
+// Conversion of plain scalars by their form, as YAML's core schema has it.
+#include "kingcupslip/cli/yaml_to_json.hpp"
+
+#include <nlohmann/json.hpp>
+#include <yaml-cpp/yaml.h>
+
+namespace kingcupslip {
+
+namespace {
+
+using nlohmann::json;
+
+json scalar_to_json(const YAML::Node& n) {
+  const std::string text = n.Scalar();
+  if (n.Tag() == "!") {
+    // Quoted: a text, whatever it looks like.
+    return text;
+  }
+  if (text == "true" || text == "false") {
+    return text == "true";
+  }
+  const json parsed = json::parse(text, nullptr, false);
+  return parsed.is_number() ? parsed : json(text);
+}
+
+json to_json_value(const YAML::Node& n) {
+  if (n.IsMap()) {
+    json out = json::object();
+    for (auto it = n.begin(); it != n.end(); ++it) {
+      out[it->first.Scalar()] = to_json_value(it->second);
+    }
+    return out;
+  }
+  if (n.IsSequence()) {
+    json out = json::array();
+    for (const YAML::Node& it : n) {
+      out.push_back(to_json_value(it));
+    }
+    return out;
+  }
+  return n.IsScalar() ? scalar_to_json(n) : json();
+}
+
+} // namespace
+
+std::optional<std::string> yaml_to_json(const std::string& yaml_text,
+                                        std::string& fault) {
+  try {
+    return to_json_value(YAML::Load(yaml_text)).dump();
+  } catch (const YAML::Exception& e) {
+    fault = "line " + std::to_string(e.mark.line + 1) + ": " + e.msg;
+    return std::nullopt;
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/admission_queue.cpp
@@ -0,0 +1,186 @@
+// Order of starting and order of shedding.
+#include "kingcupslip/core/admission_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr std::uint32_t whole_percent = 100;
+
+std::size_t index_of(priority rank) { return static_cast<std::size_t>(rank); }
+
+} // namespace
+
+void admission_queue::offer(waiting_request w, std::size_t capacity,
+                            std::vector<shed_request>& shed) {
+  if (m_size >= capacity && !make_room(w, shed)) {
+    shed.push_back({w.id, reason::queue_full});
+    return;
+  }
+  insert(std::move(w));
+}
+
+std::optional<waiting_request>
+admission_queue::take(instant now, duration service_time,
+                      std::vector<shed_request>& shed) {
+  while (m_size > 0) {
+    std::optional<waiting_request> w = pop(m_ranks[choose_rank()]);
+    if (!w) {
+      return std::nullopt;
+    }
+    --m_size;
+    if (w->deadline > now + service_time) {
+      return w;
+    }
+    shed.push_back({w->id, reason::deadline});
+  }
+  return std::nullopt;
+}
+
+bool admission_queue::remove(std::uint64_t id) {
+  const auto is_it = [id](const waiting_request& w) { return w.id == id; };
+  return !remove_if(is_it).empty();
+}
+
+std::size_t admission_queue::ahead_of(priority rank) const {
+  std::size_t n = 0;
+  for (std::size_t i = 0; i <= index_of(rank); ++i) {
+    n += m_ranks[i].size;
+  }
+  return n;
+}
+
+std::size_t admission_queue::choose_rank() {
+  std::size_t first = 0;
+  while (first < priority_count && m_ranks[first].size == 0) {
+    ++first;
+  }
+  // A lower rank with a kept share earns credit at each start and is served
+  // once the credit makes a whole start.
+  for (std::size_t i = first + 1; i < priority_count; ++i) {
+    rank_lines& lines = m_ranks[i];
+    if (lines.size == 0) {
+      lines.credit_percent = 0;
+      continue;
+    }
+    lines.credit_percent += lines.min_share_percent;
+    if (lines.credit_percent >= whole_percent) {
+      lines.credit_percent -= whole_percent;
+      return i;
+    }
+  }
+  return first;
+}
+
+std::optional<waiting_request> admission_queue::pop(rank_lines& lines) {
+  std::map<std::string, line>::iterator best = lines.teams.end();
+  for (auto it = lines.teams.begin(); it != lines.teams.end(); ++it) {
+    if (best == lines.teams.end() ||
+        it->second.served < best->second.served) {
+      best = it;
+    }
+  }
+  if (best == lines.teams.end()) {
+    return std::nullopt;
+  }
+  line& l = best->second;
+  const bool from_patient =
+      !l.patient.empty() &&
+      (l.impatient.empty() ||
+       l.patient.front().queued_at <= l.impatient.front().queued_at);
+  waiting_request out;
+  if (from_patient) {
+    out = std::move(l.patient.front());
+    l.patient.pop_front();
+  } else {
+    out = std::move(l.impatient.back());
+    l.impatient.pop_back();
+  }
+  l.served += 1.0 / l.weight;
+  if (l.size() == 0) {
+    lines.teams.erase(best);
+  }
+  --lines.size;
+  return out;
+}
+
+bool admission_queue::make_room(const waiting_request& w,
+                                std::vector<shed_request>& shed) {
+  for (std::size_t i = priority_count - 1; i > index_of(w.rank); --i) {
+    if (m_ranks[i].size > 0) {
+      return evict(m_ranks[i], nullptr, shed);
+    }
+  }
+  return evict(m_ranks[index_of(w.rank)], &w, shed);
+}
+
+bool admission_queue::evict(rank_lines& lines, const waiting_request* newcomer,
+                            std::vector<shed_request>& shed) {
+  std::map<std::string, line>::iterator fullest = lines.teams.end();
+  double most = 0;
+  for (auto it = lines.teams.begin(); it != lines.teams.end(); ++it) {
+    const double load =
+        static_cast<double>(it->second.size()) / it->second.weight;
+    if (load > most) {
+      most = load;
+      fullest = it;
+    }
+  }
+  if (fullest == lines.teams.end()) {
+    return false;
+  }
+  line& l = fullest->second;
+  std::deque<waiting_request>& part =
+      l.impatient.empty() ? l.patient : l.impatient;
+  // Impatient callers are served newest first, so their oldest gives way.
+  const auto victim =
+      l.impatient.empty() ? std::prev(part.end()) : part.begin();
+  if (newcomer != nullptr) {
+    const auto own = lines.teams.find(newcomer->team);
+    const std::size_t mine =
+        own == lines.teams.end() ? 0 : own->second.size();
+    const double my_load = static_cast<double>(mine + 1) / newcomer->weight;
+    const bool over_its_share =
+        fullest->first != newcomer->team && most > my_load;
+    const bool deeper = newcomer->depth > victim->depth;
+    const bool fresher = newcomer->wait == patience::impatient &&
+                         victim->wait == patience::impatient;
+    if (!over_its_share && !deeper && !fresher) {
+      return false;
+    }
+  }
+  shed.push_back({victim->id, reason::shed});
+  part.erase(victim);
+  if (l.size() == 0) {
+    lines.teams.erase(fullest);
+  }
+  --lines.size;
+  --m_size;
+  return true;
+}
+
+void admission_queue::insert(waiting_request w) {
+  rank_lines& lines = m_ranks[index_of(w.rank)];
+  const bool fresh_line = lines.teams.find(w.team) == lines.teams.end();
+  double least = 0;
+  for (auto it = lines.teams.begin(); it != lines.teams.end(); ++it) {
+    const bool first = it == lines.teams.begin();
+    least = first ? it->second.served : std::min(least, it->second.served);
+  }
+  line& l = lines.teams[w.team];
+  if (fresh_line) {
+    // A team that was away has saved up no claim on the past.
+    l.served = least;
+  }
+  l.weight = std::max<std::uint32_t>(1, w.weight);
+  lines.min_share_percent = w.min_share_percent;
+  (w.wait == patience::patient ? l.patient : l.impatient)
+      .push_back(std::move(w));
+  ++lines.size;
+  ++m_size;
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/admission_queue.hpp
@@ -0,0 +1,119 @@
+// The short line in front of a target: who starts next, and who is shed.
+#ifndef KINGCUPSLIP_CORE_ADMISSION_QUEUE_HPP
+#define KINGCUPSLIP_CORE_ADMISSION_QUEUE_HPP
+
+#include "kingcupslip/core/contract.hpp"
+#include "kingcupslip/core/reason.hpp"
+#include "kingcupslip/core/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcupslip {
+
+/// A request that waits to start.
+struct waiting_request {
+  std::uint64_t id = 0;
+  std::string team;
+  std::uint32_t weight = 1;
+  priority rank = priority::normal;
+  patience wait = patience::patient;
+  std::uint32_t depth = 0;
+  std::uint32_t min_share_percent = 0;
+  instant deadline{0};
+  instant queued_at{0};
+};
+
+/// A request that left the queue without starting. It has not run.
+struct shed_request {
+  std::uint64_t id;
+  reason why;
+};
+
+/// Strict order between ranks, except for the share a contract keeps for a
+/// lower one; weighted fair between teams of a rank; oldest first for
+/// patient callers, newest first for those who give up early.
+///
+/// Invariant: size() is the sum of all lines.
+class admission_queue {
+public:
+  /// Puts `w` in line. What had to give way, `w` itself included, is
+  /// appended to `shed`. `capacity` bounds the whole queue.
+  void offer(waiting_request w, std::size_t capacity,
+             std::vector<shed_request>& shed);
+
+  /// The next request to start. Requests that cannot finish within
+  /// `service_time` of their time left are appended to `shed` instead.
+  std::optional<waiting_request> take(instant now, duration service_time,
+                                      std::vector<shed_request>& shed);
+
+  /// Takes out a request whose caller went away.
+  bool remove(std::uint64_t id);
+
+  /// Takes out what `unwanted` picks; used for withdrawn keys and drains.
+  template <class Predicate>
+  std::vector<waiting_request> remove_if(Predicate unwanted);
+
+  std::size_t size() const { return m_size; }
+
+  /// How many waiting requests would start before a new one of this rank.
+  std::size_t ahead_of(priority rank) const;
+
+private:
+  struct line {
+    std::deque<waiting_request> patient;
+    std::deque<waiting_request> impatient;
+    std::uint32_t weight = 1;
+    double served = 0; ///< starts divided by weight, since the line formed
+    std::size_t size() const { return patient.size() + impatient.size(); }
+  };
+  struct rank_lines {
+    std::map<std::string, line> teams;
+    std::size_t size = 0;
+    std::uint32_t min_share_percent = 0;
+    std::uint32_t credit_percent = 0;
+  };
+
+  std::size_t choose_rank();
+  std::optional<waiting_request> pop(rank_lines& lines);
+  bool make_room(const waiting_request& w, std::vector<shed_request>& shed);
+  bool evict(rank_lines& lines, const waiting_request* newcomer,
+             std::vector<shed_request>& shed);
+  void insert(waiting_request w);
+
+  std::array<rank_lines, priority_count> m_ranks;
+  std::size_t m_size = 0;
+};
+
+template <class Predicate>
+std::vector<waiting_request> admission_queue::remove_if(Predicate unwanted) {
+  std::vector<waiting_request> out;
+  for (rank_lines& lines : m_ranks) {
+    for (auto it = lines.teams.begin(); it != lines.teams.end();) {
+      for (std::deque<waiting_request>* part :
+           {&it->second.patient, &it->second.impatient}) {
+        std::deque<waiting_request> kept;
+        for (waiting_request& w : *part) {
+          (unwanted(w) ? out.push_back(w) : kept.push_back(w));
+        }
+        part->swap(kept);
+      }
+      it = it->second.size() == 0 ? lines.teams.erase(it) : std::next(it);
+    }
+  }
+  for (const waiting_request& w : out) {
+    --m_ranks[static_cast<std::size_t>(w.rank)].size;
+  }
+  m_size -= out.size();
+  return out;
+}
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/answer_memory.hpp
@@ -0,0 +1,80 @@
+// What an owner of idempotency keys remembers of the requests it let run.
+#ifndef KINGCUPSLIP_CORE_ANSWER_MEMORY_HPP
+#define KINGCUPSLIP_CORE_ANSWER_MEMORY_HPP
+
+#include "kingcupslip/core/outcome.hpp"
+#include "kingcupslip/core/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupslip {
+
+/// How long a finished request is remembered, and the longest time after
+/// its first sending that a caller may resend a key without minting time.
+constexpr duration answer_memory_life = std::chrono::minutes(10);
+
+/// Allowance for the difference between two wall clocks.
+constexpr wall_time wall_clock_skew{2000};
+
+/// The minting time that a UUID version 7 carries; nothing for other keys.
+std::optional<wall_time> minting_time(std::string_view idempotency_key);
+
+/// One remembered request. A `verdict::not_run` entry never stays.
+struct remembered_request {
+  std::string team;
+  std::string key;
+  std::uint64_t digest = 0; ///< of route and body
+  bool running = false;
+  outcome answer;
+  instant finished_at{0};
+};
+
+/// Remembers by (team, key). Bounded: when full it takes no new request
+/// rather than forget one that may be resent.
+///
+/// Invariant: an entry exists from before the request is sent until
+/// `answer_memory_life` after its end.
+class answer_memory {
+public:
+  explicit answer_memory(std::size_t most_entries, std::size_t most_bytes);
+
+  /// Decides on an arriving request. `complete_since`: this memory holds
+  /// every request of the key's slot first sent after that wall time.
+  /// Returns nothing where the request may run; it is then remembered as
+  /// running. Otherwise the answer to give.
+  std::optional<outcome> begin(const std::string& team, const std::string& key,
+                               std::uint64_t digest, wall_time complete_since,
+                               clock_reading t);
+
+  /// The request ended. `not_run` forgets it, so that a resend may run.
+  void finish(const std::string& team, const std::string& key,
+              const outcome& answer, instant now);
+
+  /// Takes an entry that a leaving owner handed over.
+  void adopt(remembered_request entry);
+
+  /// Visits every entry of the keys that `picked` says.
+  std::vector<remembered_request>
+  entries_of(const std::function<bool(const remembered_request&)>& picked) const;
+
+  void expire(instant now);
+  std::size_t size() const { return m_entries.size(); }
+  std::size_t bytes() const { return m_bytes; }
+
+private:
+  std::size_t m_most_entries;
+  std::size_t m_most_bytes;
+  std::size_t m_bytes = 0;
+  std::unordered_map<std::string, remembered_request> m_entries;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/concurrency_limit.cpp
@@ -0,0 +1,128 @@
+// Window arithmetic of the concurrency limit.
+#include "kingcupslip/core/concurrency_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr double cold_limit = 2;
+constexpr std::size_t window_samples = 16;
+constexpr duration window_span = std::chrono::milliseconds(50);
+constexpr double grow_below = 1.3;
+constexpr double shrink_above = 1.6;
+constexpr double deepest_cut = 0.6;
+constexpr double failure_cut = 0.5;
+/// A floor may rise this much per window while nothing is congested, so
+/// that a target that really became slower is believed in time.
+constexpr double floor_rise = 1.01;
+
+double ratio(duration a, duration b) {
+  return static_cast<double>(a.count()) /
+         static_cast<double>(std::max<duration::rep>(1, b.count()));
+}
+
+duration scaled(duration d, double factor) {
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(d.count()) * factor));
+}
+
+} // namespace
+
+concurrency_limit::concurrency_limit(std::size_t maximum)
+    : m_maximum(static_cast<double>(maximum)), m_limit(cold_limit) {}
+
+void concurrency_limit::on_answer(duration latency, std::size_t in_flight,
+                                  instant now) {
+  if (m_window_count == 0) {
+    m_window_began = now;
+  }
+  m_window_sum += latency;
+  ++m_window_count;
+  m_window_saturated |= in_flight >= limit();
+  const bool long_enough = now - m_window_began >= window_span;
+  const bool full = m_window_count >= window_samples;
+  if (full || (long_enough && m_window_count * 2 >= window_samples)) {
+    close_window(now);
+  }
+}
+
+void concurrency_limit::on_failure(instant now) {
+  if (now < m_no_backoff_before) {
+    return;
+  }
+  // One cut per round trip: the requests that were already out cannot have
+  // felt the last one.
+  m_no_backoff_before = now + std::max(m_recent, window_span);
+  shrink(failure_cut);
+}
+
+void concurrency_limit::restart() {
+  m_limit = cold_limit;
+  m_slow_start = true;
+  m_floor = duration(0);
+  m_recent = duration(0);
+  m_window_count = 0;
+  m_window_sum = duration(0);
+  m_window_saturated = false;
+  m_cut_limit = 0;
+}
+
+void concurrency_limit::close_window(instant now) {
+  const duration mean = m_window_sum / static_cast<int>(m_window_count);
+  const bool saturated = m_window_saturated;
+  m_window_count = 0;
+  m_window_sum = duration(0);
+  m_window_saturated = false;
+  m_recent = mean;
+  if (m_floor == duration(0) || mean < m_floor) {
+    m_floor = mean;
+  } else if (!saturated) {
+    m_floor = std::min(mean, scaled(m_floor, floor_rise));
+  }
+  const double congestion = ratio(mean, m_floor);
+  if (congestion > shrink_above) {
+    if (now < m_no_backoff_before) {
+      return;
+    }
+    m_no_backoff_before = now + mean;
+    if (m_cut_limit == 0) {
+      m_cut_limit = m_limit;
+      m_cut_latency = mean;
+    }
+    shrink(std::max(deepest_cut, shrink_above / congestion));
+    recognise_slow_floor(mean);
+    return;
+  }
+  m_cut_limit = 0;
+  if (congestion < grow_below && saturated) {
+    grow();
+  } else if (congestion >= grow_below) {
+    m_slow_start = false;
+  }
+}
+
+void concurrency_limit::grow() {
+  const double step = m_slow_start ? m_limit : std::sqrt(m_limit);
+  m_limit = std::min(m_maximum, m_limit + step);
+}
+
+void concurrency_limit::shrink(double factor) {
+  m_slow_start = false;
+  m_limit = std::max(1.0, m_limit * factor);
+}
+
+void concurrency_limit::recognise_slow_floor(duration mean) {
+  // Latency that does not fall when the limit is quartered is not caused by
+  // this queue: something below became slow, and more cuts only lose work.
+  const bool cut_deeply = m_limit <= std::max(1.0, m_cut_limit / 4);
+  if (cut_deeply && ratio(mean, m_cut_latency) > 0.7) {
+    m_floor = mean;
+    m_limit = std::max(1.0, m_cut_limit / 2);
+    m_cut_limit = 0;
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/concurrency_limit.hpp
@@ -0,0 +1,59 @@
+// Learns how many requests a target bears at once, from its own behaviour.
+#ifndef KINGCUPSLIP_CORE_CONCURRENCY_LIMIT_HPP
+#define KINGCUPSLIP_CORE_CONCURRENCY_LIMIT_HPP
+
+#include "kingcupslip/core/time.hpp"
+
+#include <cstddef>
+
+namespace kingcupslip {
+
+/// Compares each window's mean latency with the uncongested floor: grows
+/// while they agree, shrinks when latency rises, and halves when the target
+/// itself refuses. Health reports play no part.
+///
+/// Invariant: 1 <= limit() <= the maximum given.
+class concurrency_limit {
+public:
+  explicit concurrency_limit(std::size_t maximum = 1000);
+
+  std::size_t limit() const { return static_cast<std::size_t>(m_limit); }
+
+  /// A request was answered after `latency`; `in_flight` counts the
+  /// requests at the target just before this answer.
+  void on_answer(duration latency, std::size_t in_flight, instant now);
+
+  /// The target refused, timed out or lost a connection.
+  void on_failure(instant now);
+
+  /// The target started anew: begin again from the cold limit.
+  void restart();
+
+  /// The mean latency of the last window; 0 before the first.
+  duration recent_latency() const { return m_recent; }
+  duration floor_latency() const { return m_floor; }
+
+private:
+  void close_window(instant now);
+  void grow();
+  void shrink(double factor);
+  void recognise_slow_floor(duration mean);
+
+  double m_maximum;
+  double m_limit;
+  bool m_slow_start = true;
+  duration m_floor{0};
+  duration m_recent{0};
+  instant m_window_began{0};
+  duration m_window_sum{0};
+  std::size_t m_window_count = 0;
+  bool m_window_saturated = false;
+  instant m_no_backoff_before{0};
+  /// Latency when the present run of cuts began, and the limit then.
+  duration m_cut_latency{0};
+  double m_cut_limit = 0;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/config_rows.cpp
@@ -0,0 +1,56 @@
+// Keys and JSON of the configuration rows.
+#include "kingcupslip/core/config_rows.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcupslip {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t sequence_digits = 12;
+
+} // namespace
+
+std::string to_json(const config_change& c) {
+  return json{{"key", c.item.key},
+              {"value", c.item.value},
+              {"sequence", c.item.sequence},
+              {"operation", c.operation}}
+      .dump();
+}
+
+config_change parse_change(std::string_view json_text) {
+  config_change out;
+  const json value = json::parse(json_text, nullptr, false);
+  if (value.is_object()) {
+    out.item.key = value.value("key", "");
+    out.item.value = value.value("value", "");
+    out.item.sequence = value.value("sequence", std::uint64_t{0});
+    out.operation = value.value("operation", "");
+  }
+  return out;
+}
+
+std::string config_log_key(std::uint64_t sequence) {
+  const std::string digits = std::to_string(sequence);
+  const std::size_t zeros =
+      digits.size() < sequence_digits ? sequence_digits - digits.size() : 0;
+  return std::string(config_log_prefix) + std::string(zeros, '0') + digits;
+}
+
+std::string config_item_key(const std::string& key) {
+  return std::string(config_item_prefix) + key;
+}
+
+std::string head_to_json(std::uint64_t sequence) {
+  return json{{"sequence", sequence}}.dump();
+}
+
+std::uint64_t parse_head(std::string_view json_text) {
+  const json value = json::parse(json_text, nullptr, false);
+  return value.is_object() ? value.value("sequence", std::uint64_t{0}) : 0;
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/config_sync.hpp
@@ -0,0 +1,78 @@
+// Keeps a node's configuration current: from the table and from its peers.
+#ifndef KINGCUPSLIP_CORE_CONFIG_SYNC_HPP
+#define KINGCUPSLIP_CORE_CONFIG_SYNC_HPP
+
+#include "kingcupslip/core/configuration.hpp"
+#include "kingcupslip/core/member_table.hpp"
+#include "kingcupslip/core/table.hpp"
+#include "kingcupslip/core/time.hpp"
+#include "kingcupslip/wire/generated/messages.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace kingcupslip {
+
+/// Sends a message to a node by name.
+using message_sender =
+    std::function<void(const std::string& node, wire::payloadUnion body)>;
+
+/// Two readers per data centre poll the head row; everyone else hears from
+/// peers, pushed on a change and pulled when gossip shows a gap. Nodes that
+/// hear nothing for long read the table themselves.
+class config_sync {
+public:
+  config_sync(configuration& config, member_table& members, table_hooks table,
+              message_sender send, member_table::random_source random);
+
+  void tick(instant now);
+
+  /// A peer's gossip: its sequence, and how old its knowledge is.
+  void on_gossip(const std::string& from, std::uint64_t sequence,
+                 duration age, instant now);
+  void on_pull(const std::string& from, const wire::config_pullT& m,
+               instant now);
+  void on_delta(const std::string& from, const wire::config_deltaT& m,
+                instant now);
+
+  /// A change written through this node was accepted.
+  void on_written(const config_item& item, instant now);
+
+  /// Whether any configuration has been had yet.
+  bool ready() const { return m_ready; }
+
+  /// How long ago this node's configuration was surely the newest.
+  duration age(instant now) const;
+
+  /// Table reads made, for the counters.
+  std::uint64_t reads() const { return m_reads; }
+
+private:
+  bool is_reader() const;
+  void poll(instant now);
+  void read_log(std::uint64_t through, instant began);
+  void read_items(std::uint64_t through, instant began);
+  void take(const std::vector<config_item>& items, std::uint64_t since,
+            std::uint64_t through, instant as_of);
+  void push(std::uint64_t since);
+  void confirm(std::uint64_t sequence, instant as_of);
+
+  configuration& m_config;
+  member_table& m_members;
+  table_hooks m_table;
+  message_sender m_send;
+  member_table::random_source m_random;
+  bool m_ready = false;
+  bool m_busy = false;
+  instant m_poll_at{0};
+  instant m_current_as_of{0};
+  instant m_pull_at{0};
+  instant m_now{0};
+  std::uint64_t m_reads = 0;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/config_writer.hpp
@@ -0,0 +1,68 @@
+// Writes one change of configuration, durably and exactly once.
+#ifndef KINGCUPSLIP_CORE_CONFIG_WRITER_HPP
+#define KINGCUPSLIP_CORE_CONFIG_WRITER_HPP
+
+#include "kingcupslip/core/config_rows.hpp"
+#include "kingcupslip/core/table.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace kingcupslip {
+
+enum class write_status : std::uint8_t {
+  accepted,   ///< durable; `sequence` says where in the order
+  conflict,   ///< another operator was faster; nothing was written
+  unavailable ///< not known to be written; ask again, same operation id
+};
+
+struct write_result {
+  write_status status = write_status::unavailable;
+  std::uint64_t sequence = 0;
+  /// With `conflict`: the item as it stands now.
+  config_item current;
+};
+
+using write_handler = std::function<void(const write_result&)>;
+
+/// What to write. Repeating a change with the same operation id never
+/// applies it twice.
+struct change_request {
+  std::string key;
+  std::string value;
+  std::string operation;
+  /// Write only if the item is still of this sequence; 0: does not exist.
+  std::optional<std::uint64_t> expected_sequence;
+};
+
+/// One change on its way; keeps itself alive until the handler has run.
+class config_write : public std::enable_shared_from_this<config_write> {
+public:
+  config_write(table_hooks table, change_request request,
+               write_handler handler);
+  void start();
+
+private:
+  void read_head();
+  void read_item(std::uint64_t head_version);
+  void decide(std::uint64_t head_version, const std::vector<table_row>& rows);
+  void write(std::uint64_t head_version, std::uint64_t item_version);
+  void check_log();
+  void again(bool counts);
+  void finish(write_status status, std::uint64_t sequence,
+              config_item current = {});
+
+  table_hooks m_table;
+  change_request m_request;
+  write_handler m_handler;
+  std::uint64_t m_sequence = 0; ///< the one being written
+  bool m_unsettled = false;     ///< a write's answer was lost
+  std::uint32_t m_tries = 0;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/contract_codec.cpp
@@ -0,0 +1,234 @@
+// Contracts to and from JSON.
+#include "kingcupslip/core/contract_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_name_length = 63;
+constexpr double max_rate_per_s = 1e7;
+constexpr std::uint32_t max_weight = 1000;
+constexpr std::uint32_t max_retries = 10;
+constexpr std::int64_t max_timeout_ms = 600'000;
+
+/// Reads the fields of one object and notes each fault; fields that were
+/// never asked for are faults of their own.
+class object_reader {
+public:
+  object_reader(const json& object, std::string where, document_faults& faults)
+      : m_object(object), m_where(std::move(where)), m_faults(faults) {}
+
+  std::string text(const char* key, std::string fallback, bool needed) {
+    const json* it = find(key, needed, "a string");
+    if (it == nullptr) {
+      return fallback;
+    }
+    if (!it->is_string()) {
+      fault(key, "a string");
+      return fallback;
+    }
+    return it->get<std::string>();
+  }
+
+  bool flag(const char* key, bool fallback) {
+    const json* it = find(key, false, "");
+    if (it == nullptr) {
+      return fallback;
+    }
+    if (!it->is_boolean()) {
+      fault(key, "true or false");
+      return fallback;
+    }
+    return it->get<bool>();
+  }
+
+  double number(const char* key, double fallback, double low, double high,
+                bool needed) {
+    const std::string expected = "a number from " + json(low).dump() + " to " +
+                                 json(high).dump();
+    const json* it = find(key, needed, expected);
+    if (it == nullptr) {
+      return fallback;
+    }
+    if (!it->is_number() || it->get<double>() < low ||
+        it->get<double>() > high) {
+      fault(key, expected);
+      return fallback;
+    }
+    return it->get<double>();
+  }
+
+  const json* list(const char* key) {
+    const json* it = find(key, true, "a list");
+    if (it != nullptr && !it->is_array()) {
+      fault(key, "a list");
+      return nullptr;
+    }
+    return it;
+  }
+
+  void fault(const std::string& key, const std::string& expected) {
+    m_faults.push_back({m_where + key, expected});
+  }
+
+  void refuse_unknown_keys() {
+    for (json::const_iterator it = m_object.begin(); it != m_object.end();
+         ++it) {
+      if (std::find(m_known.begin(), m_known.end(), it.key()) ==
+          m_known.end()) {
+        fault(it.key(), "no such key");
+      }
+    }
+  }
+
+private:
+  const json* find(const char* key, bool needed, const std::string& expected) {
+    m_known.emplace_back(key);
+    const json::const_iterator it = m_object.find(key);
+    if (it != m_object.end()) {
+      return &*it;
+    }
+    if (needed) {
+      fault(key, expected);
+    }
+    return nullptr;
+  }
+
+  const json& m_object;
+  std::string m_where;
+  document_faults& m_faults;
+  std::vector<std::string> m_known;
+};
+
+std::optional<priority> priority_from(std::string_view name) {
+  for (std::size_t i = 0; i < priority_count; ++i) {
+    const priority p = static_cast<priority>(i);
+    if (name_of(p) == name) {
+      return p;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<patience> patience_from(std::string_view name) {
+  for (const patience p : {patience::patient, patience::impatient}) {
+    if (name_of(p) == name) {
+      return p;
+    }
+  }
+  return std::nullopt;
+}
+
+route_terms read_route(const json& object, const std::string& where,
+                       document_faults& faults) {
+  route_terms out;
+  if (!object.is_object()) {
+    faults.push_back({where, "an object"});
+    return out;
+  }
+  object_reader in(object, where + ".", faults);
+  out.service = in.text("service", "", true);
+  if (!is_valid_name(out.service)) {
+    in.fault("service", "1 to 63 of a-z, 0-9 and -");
+  }
+  out.path_prefix = in.text("path", "/", false);
+  if (out.path_prefix.empty() || out.path_prefix.front() != '/') {
+    in.fault("path", "a path that begins with /");
+  }
+  out.idempotent = in.flag("idempotent", true);
+  out.open = in.flag("open", false);
+  const std::string rank = in.text("priority", "normal", false);
+  if (const std::optional<priority> p = priority_from(rank)) {
+    out.rank = *p;
+  } else {
+    in.fault("priority", "critical, high, normal or low");
+  }
+  const std::string wait = in.text("wait", "patient", false);
+  if (const std::optional<patience> p = patience_from(wait)) {
+    out.wait = *p;
+  } else {
+    in.fault("wait", "patient or impatient");
+  }
+  out.timeout = std::chrono::milliseconds(static_cast<std::int64_t>(
+      in.number("timeout_ms", 5000, 1, max_timeout_ms, false)));
+  out.min_share_percent = static_cast<std::uint32_t>(
+      in.number("min_share_percent", 0, 0, 50, false));
+  in.refuse_unknown_keys();
+  return out;
+}
+
+json route_to_json(const route_terms& r) {
+  return json{{"service", r.service},
+              {"path", r.path_prefix},
+              {"idempotent", r.idempotent},
+              {"open", r.open},
+              {"priority", name_of(r.rank)},
+              {"wait", name_of(r.wait)},
+              {"timeout_ms", r.timeout.count()},
+              {"min_share_percent", r.min_share_percent}};
+}
+
+} // namespace
+
+bool is_valid_name(std::string_view name) {
+  const auto allowed = [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+  };
+  return !name.empty() && name.size() <= max_name_length &&
+         std::all_of(name.begin(), name.end(), allowed);
+}
+
+boost::outcome_v2::result<contract, document_faults,
+                          boost::outcome_v2::policy::terminate>
+parse_contract(std::string_view json_text) {
+  document_faults faults;
+  const json object = json::parse(json_text, nullptr, false);
+  if (!object.is_object()) {
+    faults.push_back({"", "a JSON object"});
+    return faults;
+  }
+  contract out;
+  object_reader in(object, "", faults);
+  out.team = in.text("team", "", true);
+  if (!is_valid_name(out.team)) {
+    in.fault("team", "1 to 63 of a-z, 0-9 and -");
+  }
+  out.rate_per_s = in.number("rate_per_s", 1, 0.1, max_rate_per_s, true);
+  out.burst = in.number("burst", 1, 1, max_rate_per_s, true);
+  out.weight =
+      static_cast<std::uint32_t>(in.number("weight", 1, 1, max_weight, false));
+  out.retries = static_cast<std::uint32_t>(
+      in.number("retries", 2, 0, max_retries, false));
+  if (const json* routes = in.list("routes")) {
+    for (std::size_t i = 0; i < routes->size(); ++i) {
+      const std::string where = "routes[" + std::to_string(i) + "]";
+      out.routes.push_back(read_route((*routes)[i], where, faults));
+    }
+  }
+  in.refuse_unknown_keys();
+  if (!faults.empty()) {
+    return faults;
+  }
+  return out;
+}
+
+std::string to_json(const contract& c) {
+  json routes = json::array();
+  for (const route_terms& it : c.routes) {
+    routes.push_back(route_to_json(it));
+  }
+  return json{{"team", c.team},       {"rate_per_s", c.rate_per_s},
+              {"burst", c.burst},     {"weight", c.weight},
+              {"retries", c.retries}, {"routes", routes}}
+      .dump();
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -0,0 +1,237 @@
+// Attempts, retries and their limits.
+#include "kingcupslip/core/dispatcher.hpp"
+
+#include "kingcupslip/core/reply_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+/// With less time left a request stays in its data centre.
+constexpr duration time_for_overflow = std::chrono::milliseconds(20);
+
+} // namespace
+
+dispatcher::dispatcher(options o, const clock_reading& clock,
+                       member_table& members, const configuration& config,
+                       pending_calls& calls, target_stage& local,
+                       message_sender send,
+                       member_table::random_source random)
+    : m_options(o), m_clock(clock), m_members(members), m_config(config),
+      m_calls(calls), m_local(local), m_send(std::move(send)),
+      m_random(std::move(random)) {}
+
+void dispatcher::dispatch(const std::shared_ptr<dispatch_job>& job) {
+  m_ratios[job->request.service].on_first_try();
+  attempt(job);
+}
+
+void dispatcher::cancel(const std::shared_ptr<dispatch_job>& job) {
+  if (job->ended) {
+    return;
+  }
+  if (job->at_node == m_members.self().info.node) {
+    m_local.cancel(job->at_correlation);
+  } else if (!job->at_node.empty()) {
+    wire::cancelT cancel;
+    cancel.correlation = job->at_correlation;
+    wire::payloadUnion body;
+    body.Set(std::move(cancel));
+    m_send(job->at_node, std::move(body));
+  }
+  const bool sent = job->attempts > 0;
+  finish(job, refusal(reason::cancelled,
+                      sent ? verdict::may_have_run : verdict::not_run));
+}
+
+void dispatcher::tick() {
+  while (!m_waiting.empty() && m_waiting.begin()->first <= m_clock.now) {
+    const std::shared_ptr<dispatch_job> job = m_waiting.begin()->second;
+    m_waiting.erase(m_waiting.begin());
+    if (!job->ended) {
+      attempt(job);
+    }
+  }
+}
+
+bool dispatcher::serves(const std::string& service) const {
+  for (const std::pair<const std::string, member>& it : m_members.all()) {
+    if (it.second.info.service == service && it.second.usable()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void dispatcher::on_load(const std::string& node, const wire::replyT& reply) {
+  member* m = m_members.find(node);
+  if (m != nullptr && reply.limit >= 1) {
+    m->info.limit = reply.limit;
+    m->info.in_flight = reply.in_flight + reply.queued;
+  }
+}
+
+std::vector<target_view>
+dispatcher::candidates(const dispatch_job& job) const {
+  std::vector<target_view> out;
+  const std::string& self = m_members.self().info.node;
+  const std::string& here = m_members.self().info.data_centre;
+  for (const std::pair<const std::string, member>& it : m_members.all()) {
+    const wire::memberT& m = it.second.info;
+    const bool in_service =
+        m.service == job.request.service && m.ready && it.second.usable() &&
+        !m_config.target_out(m.node) &&
+        !m_config.data_centre_out(m.data_centre);
+    if (!in_service || job.tried.count(m.node) != 0) {
+      continue;
+    }
+    target_view v;
+    v.node = m.node;
+    v.same_data_centre = m.data_centre == here;
+    v.in_flight_here = it.second.in_flight_here;
+    v.failures = it.second.failures;
+    const bool local = m.node == self;
+    v.limit = local ? static_cast<double>(m_local.limit()) : m.limit;
+    v.in_flight_there =
+        local ? m_local.in_flight() + m_local.queued() : m.in_flight;
+    out.push_back(std::move(v));
+  }
+  return out;
+}
+
+void dispatcher::attempt(const std::shared_ptr<dispatch_job>& job) {
+  const reason stop =
+      job->may_send ? job->may_send() : reason::none;
+  if (stop != reason::none) {
+    finish(job, refusal(stop));
+    return;
+  }
+  if (job->deadline <= m_clock.now) {
+    finish(job, refusal(reason::deadline));
+    return;
+  }
+  std::vector<target_view> targets = candidates(*job);
+  if (targets.empty() && !job->tried.empty()) {
+    // Every target was tried once; with backoff in between, again is fine.
+    job->tried.clear();
+    targets = candidates(*job);
+  }
+  const bool overflow =
+      job->deadline - m_clock.now > time_for_overflow;
+  const target_view* chosen = choose_target(targets, overflow, m_random);
+  if (chosen == nullptr) {
+    finish(job, refusal(reason::no_target, verdict::not_run,
+                        std::chrono::milliseconds(1000)));
+    return;
+  }
+  send(job, chosen->node);
+}
+
+void dispatcher::send(const std::shared_ptr<dispatch_job>& job,
+                      const std::string& node) {
+  ++job->attempts;
+  job->tried.insert(node);
+  wire::callT call = copy_of(job->request);
+  call.kind = wire::call_kind::run;
+  call.time_left_us = (job->deadline - m_clock.now).count();
+  // Nested calls may spend half; the rest stays for retries from here.
+  call.retries = job->request.retries / 2;
+  const std::uint32_t allowance = call.retries;
+  if (member* m = m_members.find(node)) {
+    ++m->in_flight_here;
+  }
+  const outcome_handler handler = [this, job, node, allowance](outcome o) {
+    on_outcome(job, node, allowance, std::move(o));
+  };
+  job->at_node = node;
+  if (node == m_members.self().info.node) {
+    job->at_correlation = 0;
+    const std::uint64_t ticket =
+        m_local.submit(std::move(call), job->deadline, handler);
+    if (!job->ended && job->at_node == node) {
+      job->at_correlation = ticket;
+    }
+    return;
+  }
+  call.correlation = m_calls.add(node, job->deadline, handler);
+  job->at_correlation = call.correlation;
+  wire::payloadUnion body;
+  body.Set(std::move(call));
+  m_send(node, std::move(body));
+}
+
+void dispatcher::on_outcome(const std::shared_ptr<dispatch_job>& job,
+                            const std::string& node, std::uint32_t allowance,
+                            outcome o) {
+  if (member* m = m_members.find(node)) {
+    m->in_flight_here -= m->in_flight_here > 0 ? 1 : 0;
+    const bool broken = o.why == reason::connection_lost ||
+                        o.why == reason::target_unreachable ||
+                        o.why == reason::node_unreachable ||
+                        o.why == reason::no_target;
+    if (broken) {
+      ++m->failures;
+      m->failure_at = m_clock.now;
+    }
+  }
+  if (job->ended) {
+    return;
+  }
+  // A lost attempt may have spent all that its nested calls were allowed.
+  const std::uint32_t used = o.ran == verdict::may_have_run
+                                 ? allowance
+                                 : std::min(allowance, o.retries_used);
+  job->spent += used;
+  job->request.retries -= std::min(job->request.retries, used);
+  job->may_have_run |= o.ran == verdict::may_have_run;
+  m_ratios[job->request.service].on_result(info_of(o.why).overload,
+                                           m_clock.now);
+  if (!may_retry(*job, o)) {
+    finish(job, std::move(o));
+    return;
+  }
+  --job->request.retries;
+  ++job->spent;
+  if (job->on_retry) {
+    job->on_retry(o.why);
+  }
+  job->at_node.clear();
+  m_waiting.emplace(job->retry_at, job);
+}
+
+bool dispatcher::may_retry(dispatch_job& job, const outcome& o) {
+  if (!m_options.retries || o.why == reason::none ||
+      !info_of(o.why).retry_elsewhere || job.request.retries == 0) {
+    return false;
+  }
+  const bool harmless =
+      o.ran == verdict::not_run || job.request.idempotent;
+  if (!harmless) {
+    return false;
+  }
+  job.retry_at = m_clock.now + retry_delay(job.attempts, m_random);
+  if (job.retry_at >= job.deadline) {
+    return false;
+  }
+  return m_options.plain_forwarding ||
+         m_ratios[job.request.service].spend(m_clock.now);
+}
+
+void dispatcher::finish(const std::shared_ptr<dispatch_job>& job, outcome o) {
+  if (job->ended) {
+    return;
+  }
+  job->ended = true;
+  if (job->may_have_run && o.ran == verdict::not_run) {
+    // That this attempt did not run says nothing of the ones before.
+    o.ran = verdict::may_have_run;
+  }
+  o.retries_used = job->spent;
+  const outcome_handler done = std::move(job->done);
+  done(std::move(o));
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -0,0 +1,100 @@
+// Sends a request to a target and decides whether to try another.
+#ifndef KINGCUPSLIP_CORE_DISPATCHER_HPP
+#define KINGCUPSLIP_CORE_DISPATCHER_HPP
+
+#include "kingcupslip/core/balancer.hpp"
+#include "kingcupslip/core/configuration.hpp"
+#include "kingcupslip/core/member_table.hpp"
+#include "kingcupslip/core/pending_calls.hpp"
+#include "kingcupslip/core/retry_ratio.hpp"
+#include "kingcupslip/core/target_stage.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace kingcupslip {
+
+using message_sender =
+    std::function<void(const std::string& node, wire::payloadUnion body)>;
+
+/// One request with all its attempts. Shared by whoever may end it.
+struct dispatch_job {
+  wire::callT request; ///< `retries` is what is left to spend
+  instant deadline{0};
+  outcome_handler done;
+  /// Checked right before each sending; a refusal ends the job.
+  std::function<reason()> may_send;
+  std::function<void(reason)> on_retry;
+
+  std::set<std::string> tried;
+  std::uint32_t attempts = 0;
+  std::uint32_t spent = 0;
+  instant retry_at{0};
+  bool may_have_run = false; ///< an earlier attempt's end is not known
+  bool ended = false;
+  /// Where the present attempt is, for cancellation.
+  std::string at_node;
+  std::uint64_t at_correlation = 0;
+};
+
+/// Chooses targets, spreads retries over others and keeps them within the
+/// request's budget, its deadline and the service's retry ratio.
+///
+/// Invariant: a job's `done` runs exactly once; `spent` never exceeds the
+/// retries that the request came with.
+class dispatcher {
+public:
+  struct options {
+    bool plain_forwarding = false;
+    bool retries = true;
+  };
+
+  dispatcher(options o, const clock_reading& clock, member_table& members,
+             const configuration& config, pending_calls& calls,
+             target_stage& local, message_sender send,
+             member_table::random_source random);
+
+  void dispatch(const std::shared_ptr<dispatch_job>& job);
+
+  /// The caller went away: stops the present attempt and makes no other.
+  void cancel(const std::shared_ptr<dispatch_job>& job);
+
+  /// Starts the retries that are due.
+  void tick();
+
+  /// Whether any member in service runs this service.
+  bool serves(const std::string& service) const;
+
+  /// What a reply says of its sender's load.
+  void on_load(const std::string& node, const wire::replyT& reply);
+
+private:
+  std::vector<target_view> candidates(const dispatch_job& job) const;
+  void attempt(const std::shared_ptr<dispatch_job>& job);
+  void send(const std::shared_ptr<dispatch_job>& job,
+            const std::string& node);
+  void on_outcome(const std::shared_ptr<dispatch_job>& job,
+                  const std::string& node, std::uint32_t allowance,
+                  outcome o);
+  bool may_retry(dispatch_job& job, const outcome& o);
+  void finish(const std::shared_ptr<dispatch_job>& job, outcome o);
+
+  options m_options;
+  const clock_reading& m_clock;
+  member_table& m_members;
+  const configuration& m_config;
+  pending_calls& m_calls;
+  target_stage& m_local;
+  message_sender m_send;
+  member_table::random_source m_random;
+  std::map<std::string, retry_ratio> m_ratios;
+  std::multimap<instant, std::shared_ptr<dispatch_job>> m_waiting;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/entry_stage.hpp
@@ -0,0 +1,128 @@
+// Where a caller's request enters the fleet: keys, rates, routes, deadlines.
+#ifndef KINGCUPSLIP_CORE_ENTRY_STAGE_HPP
+#define KINGCUPSLIP_CORE_ENTRY_STAGE_HPP
+
+#include "kingcupslip/core/call_context.hpp"
+#include "kingcupslip/core/config_sync.hpp"
+#include "kingcupslip/core/configuration.hpp"
+#include "kingcupslip/core/owner_stage.hpp"
+#include "kingcupslip/core/quarantine.hpp"
+#include "kingcupslip/core/share_book.hpp"
+#include "kingcupslip/core/tally.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupslip {
+
+/// A request as the HTTP listener read it.
+struct caller_request {
+  std::string method;
+  std::string target; ///< path and query, as sent
+  std::vector<header> headers;
+  body_bytes body;
+  /// The caller's connection, for `on_caller_gone`; 0 if not known.
+  std::uint64_t connection = 0;
+};
+
+/// What a data centre does with keys that it cannot confirm.
+enum class unconfirmed_keys : std::uint8_t { serve, refuse };
+
+struct entry_options {
+  std::string fleet_secret;
+  std::size_t most_body_bytes = 1024UL * 1024;
+  unconfirmed_keys unconfirmed = unconfirmed_keys::serve;
+  /// With `refuse`: how old the configuration may be.
+  duration confirmed_within = std::chrono::seconds(60);
+  bool rate_limits = true;
+};
+
+class entry_stage {
+public:
+  struct parts {
+    const configuration& config;
+    const config_sync& sync;
+    member_table& members;
+    share_book& shares;
+    quarantine& crashes;
+    dispatcher& dispatch;
+    owner_stage& owner;
+    slot_owner& slots;
+    target_stage& local;
+    pending_calls& calls;
+    message_sender send;
+    member_table::random_source random;
+  };
+
+  entry_stage(entry_options options, parts p, const clock_reading& clock);
+
+  /// Handles one request; `handler` runs exactly once.
+  void on_request(caller_request request, outcome_handler handler);
+
+  /// The connection closed: what still runs for it is cancelled.
+  void on_caller_gone(std::uint64_t connection);
+
+  /// Asks owners again whose slots were moving.
+  void tick();
+
+  void start_draining() { m_draining = true; }
+  std::size_t in_progress() const { return m_in_progress; }
+  const tally& counts() const { return m_counts; }
+
+private:
+  /// Whom a request runs for, and on which terms.
+  struct admission {
+    const contract* team_contract = nullptr;
+    const route_terms* route = nullptr;
+    std::string key_id;
+    std::optional<call_context> context;
+    instant deadline{0};
+  };
+
+  reason identify(const caller_request& r, const std::string& service,
+                  const std::string& path, admission& out) const;
+  reason identify_nested(std::string_view text, admission& out) const;
+  reason identify_by_key(std::string_view secret, admission& out) const;
+  reason no_route(const std::string& service) const;
+  void set_deadline(const caller_request& r, admission& a) const;
+  wire::callT make_call(caller_request& r, const admission& a,
+                        const std::string& service,
+                        const std::string& path);
+  void route(wire::callT call, const admission& a, std::uint64_t connection,
+             tally_key counted, outcome_handler done);
+  /// A request on its way to the owner of its key. Asking again is safe:
+  /// the owner recognises the key.
+  struct owner_call {
+    wire::callT call;
+    instant deadline{0};
+    std::uint64_t connection = 0;
+    tally_key counted;
+    outcome_handler done;
+    std::uint32_t attempts = 0;
+  };
+  void ask_owner(const std::shared_ptr<owner_call>& c);
+  void on_owner_answer(const std::shared_ptr<owner_call>& c, outcome o);
+  std::string owner_of(std::uint32_t slot) const;
+  void follow(std::uint64_t connection,
+              const std::shared_ptr<dispatch_job>& job);
+
+  entry_options m_options;
+  parts m_parts;
+  const clock_reading& m_clock;
+  tally m_counts;
+  std::unordered_map<std::uint64_t, std::weak_ptr<dispatch_job>> m_jobs;
+  std::multimap<instant, std::shared_ptr<owner_call>> m_asking_again;
+  std::size_t m_in_progress = 0;
+  bool m_draining = false;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/fleet_agent.hpp
@@ -0,0 +1,115 @@
+// A node's duties towards the fleet: gossip, leases, key slots, reports.
+#ifndef KINGCUPSLIP_CORE_FLEET_AGENT_HPP
+#define KINGCUPSLIP_CORE_FLEET_AGENT_HPP
+
+#include "kingcupslip/core/config_sync.hpp"
+#include "kingcupslip/core/lease.hpp"
+#include "kingcupslip/core/log_event.hpp"
+#include "kingcupslip/core/member_table.hpp"
+#include "kingcupslip/core/owner_stage.hpp"
+#include "kingcupslip/core/quarantine.hpp"
+#include "kingcupslip/core/share_book.hpp"
+#include "kingcupslip/core/slot_owner.hpp"
+#include "kingcupslip/core/tally.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kingcupslip {
+
+class fleet_agent {
+public:
+  struct parts {
+    node_identity self;
+    configuration& config;
+    config_sync& sync;
+    member_table& members;
+    lease_holder& lease;
+    lease_sweeper& sweeper;
+    slot_owner& slots;
+    owner_stage& owner;
+    share_book& shares;
+    quarantine& crashes;
+    const tally& counts;
+    table_hooks table;
+    message_sender send;
+    member_table::random_source random;
+    event_sink log;
+  };
+
+  fleet_agent(parts p, const clock_reading& clock);
+
+  void tick();
+
+  void on_gossip(const std::string& from, const wire::gossipT& m);
+  void on_ping(const std::string& from, const wire::pingT& m);
+  void on_pong(const std::string& from, const wire::pongT& m);
+  void on_share_hint(const wire::share_hintT& m);
+  void on_handover(const std::string& from, const wire::slot_handoverT& m);
+  void on_handover_done(const std::string& from,
+                        const wire::slot_handover_doneT& m);
+
+  /// A member that settings name; contacted until it answers.
+  void add_seed(const std::string& node, const std::string& address);
+
+  /// Tells the others whether the target beside this node takes work.
+  void set_ready(bool ready);
+
+  /// Begins to hand over slots; `handed_over` says when none is left.
+  void start_handover();
+  bool handed_over() const;
+
+  /// Returns shares and lease and says goodbye; the last call.
+  void leave();
+
+private:
+  void join();
+  void gossip_to(const std::string& node, bool answer_wanted,
+                 std::size_t samples);
+  void tick_lease();
+  void tick_slots();
+  void tick_sweep();
+  void tick_report();
+  void tick_handover();
+  void tell_members();
+  void announce_slots();
+  bool owner_known(std::uint32_t slot) const;
+  std::string successor(std::uint32_t slot) const;
+  void hand_over_now(std::uint32_t slot);
+  void write_member_row();
+  std::string member_row_key() const;
+  void write_report();
+
+  struct handover {
+    std::string to_node;
+    std::string to_lease;
+    instant since{0};
+    bool sent = false;
+  };
+
+  parts m_parts;
+  const clock_reading& m_clock;
+  std::map<std::uint32_t, handover> m_handovers;
+  std::map<std::string, member_state> m_told_states;
+  std::map<std::uint32_t, bool> m_expected_slots;
+  instant m_started_at{0};
+  instant m_gossip_at{0};
+  instant m_slots_at{0};
+  instant m_sweep_at{0};
+  instant m_report_at{0};
+  instant m_join_at{0};
+  std::uint64_t m_member_row_version = 0;
+  std::uint64_t m_report_version = 0;
+  std::string m_reported;
+  bool m_started = false;
+  bool m_joined = false;
+  bool m_row_written = false;
+  bool m_report_busy = false;
+  bool m_leaving = false;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/header_names.cpp
@@ -0,0 +1,53 @@
+// Which header fields pass through a node.
+#include "kingcupslip/core/header_names.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr std::array<std::string_view, 10> hop_by_hop{
+    "Connection", "Keep-Alive",        "Proxy-Authenticate",
+    "TE",         "Proxy-Authorization", "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",
+    "Host"};
+
+constexpr std::string_view own_prefix = "kingcupslip-";
+
+char lower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool is_hop_by_hop(std::string_view name) {
+  return std::any_of(
+      hop_by_hop.begin(), hop_by_hop.end(),
+      [name](std::string_view it) { return same_header(it, name); });
+}
+
+bool is_own(std::string_view name) {
+  return same_header(name.substr(0, own_prefix.size()), own_prefix);
+}
+
+} // namespace
+
+bool same_header(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+           return lower(x) == lower(y);
+         });
+}
+
+bool passes_to_target(std::string_view name) {
+  return !is_hop_by_hop(name) && !is_own(name) &&
+         !same_header(name, header_names::authorization) &&
+         !same_header(name, header_names::idempotency_key) &&
+         !same_header(name, "Cookie");
+}
+
+bool passes_to_caller(std::string_view name) {
+  return !is_hop_by_hop(name) && !is_own(name);
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/header_names.hpp
@@ -0,0 +1,34 @@
+// The HTTP header fields that nodes give a meaning to.
+#ifndef KINGCUPSLIP_CORE_HEADER_NAMES_HPP
+#define KINGCUPSLIP_CORE_HEADER_NAMES_HPP
+
+#include <string_view>
+
+namespace kingcupslip {
+
+namespace header_names {
+
+constexpr std::string_view authorization = "Authorization";
+constexpr std::string_view idempotency_key = "Idempotency-Key";
+constexpr std::string_view timeout_ms = "Kingcupslip-Timeout-Ms";
+constexpr std::string_view context = "Kingcupslip-Context";
+constexpr std::string_view verdict = "Kingcupslip-Verdict";
+constexpr std::string_view request_id = "Kingcupslip-Request-Id";
+/// Set by the connection guard; names the caller's connection.
+constexpr std::string_view connection = "Kingcupslip-Connection";
+
+} // namespace header_names
+
+/// Compares header names, which ignore case.
+bool same_header(std::string_view a, std::string_view b);
+
+/// Whether a caller's field may go on to a target: hop-by-hop fields, keys
+/// and the fields that nodes set themselves may not.
+bool passes_to_target(std::string_view name);
+
+/// Whether a target's field may go back to the caller.
+bool passes_to_caller(std::string_view name);
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/lease.cpp
@@ -0,0 +1,285 @@
+// Renewal, heirs and fencing of lease rows.
+#include "kingcupslip/core/lease.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace kingcupslip {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration ward_silent_after = std::chrono::seconds(5);
+constexpr duration ward_read_spacing = std::chrono::seconds(2);
+constexpr duration retry_after_failure = std::chrono::milliseconds(1500);
+
+} // namespace
+
+std::string to_json(const lease_record& r) {
+  return json{{"heir", r.heir}, {"fenced", r.fenced}, {"beat", r.beat}}
+      .dump();
+}
+
+lease_record parse_lease(std::string_view json_text) {
+  lease_record out;
+  const json value = json::parse(json_text, nullptr, false);
+  if (value.is_object()) {
+    out.heir = value.value("heir", "");
+    out.fenced = value.value("fenced", false);
+    out.beat = value.value("beat", std::uint64_t{0});
+  }
+  return out;
+}
+
+lease_holder::lease_holder(node_identity self, table_hooks table)
+    : m_self(std::move(self)), m_table(std::move(table)) {
+  name_row();
+}
+
+void lease_holder::name_row() {
+  m_id = std::string(lease_prefix) + m_self.data_centre + "/" + m_self.node +
+         "#" + std::to_string(m_self.incarnation) + "." +
+         std::to_string(m_life);
+}
+
+void lease_holder::tick(const std::string& heir, instant now) {
+  if (m_busy || m_released || now < m_try_at) {
+    return;
+  }
+  const bool due = !m_ever_held || now - m_renewed_at >= lease_renewal;
+  if (due) {
+    write(heir, now);
+  }
+}
+
+bool lease_holder::holds(instant now) const {
+  if (!m_ever_held || m_released) {
+    return false;
+  }
+  if (now < m_renewed_at + lease_span) {
+    return true;
+  }
+  return now < m_promised_until && now < m_renewed_at + hold_over;
+}
+
+bool lease_holder::holds_floor(instant now) const {
+  return m_ever_held && !m_released && now < m_renewed_at + hold_over;
+}
+
+void lease_holder::on_heir_promise(const std::string& heir, instant sent) {
+  if (heir == m_heir) {
+    m_promised_until = std::max(m_promised_until, sent + heir_promise);
+  }
+}
+
+void lease_holder::release() {
+  if (m_ever_held && !m_released) {
+    m_table.commit({{m_id, m_version, std::nullopt, false}},
+                   [](table_status, std::uint64_t) {});
+  }
+  m_released = true;
+}
+
+void lease_holder::write(const std::string& heir, instant now) {
+  m_busy = true;
+  m_pending_value = to_json(lease_record{heir, false, ++m_beat});
+  m_pending_began = now;
+  m_try_at = now + retry_after_failure;
+  m_table.commit({{m_id, m_version, m_pending_value, false}},
+                 [this, heir, now](table_status status,
+                                   std::uint64_t version) {
+                   on_written(status, version, heir, now);
+                 });
+}
+
+void lease_holder::on_written(table_status status, std::uint64_t version,
+                              const std::string& heir, instant began) {
+  m_busy = false;
+  if (status == table_status::ok) {
+    m_version = version;
+    m_renewed_at = began;
+    m_ever_held = true;
+    if (heir != m_heir) {
+      // The old heir's promises say nothing about the new one.
+      m_promised_until = instant(0);
+    }
+    m_heir = heir;
+  } else if (status != table_status::unavailable) {
+    reread();
+  }
+}
+
+void lease_holder::reread() {
+  // A lost answer or a conflict: only the row itself tells whether our last
+  // write took effect or somebody fenced us.
+  m_busy = true;
+  m_table.read({m_id, "", 1},
+               [this](table_status status, const std::vector<table_row>& rows) {
+                 m_busy = false;
+                 if (status != table_status::ok) {
+                   return;
+                 }
+                 if (rows.empty() || rows.front().key != m_id) {
+                   if (m_ever_held) {
+                     lose();
+                   }
+                   return;
+                 }
+                 const lease_record r = parse_lease(rows.front().value);
+                 if (r.fenced) {
+                   lose();
+                   return;
+                 }
+                 m_version = rows.front().version;
+                 if (r.heir != m_heir) {
+                   m_promised_until = instant(0);
+                   m_heir = r.heir;
+                 }
+                 if (rows.front().value == m_pending_value) {
+                   m_renewed_at = m_pending_began;
+                   m_ever_held = true;
+                 }
+               });
+}
+
+void lease_holder::lose() {
+  m_ever_held = false;
+  m_version = 0;
+  m_promised_until = instant(0);
+  m_heir.clear();
+  ++m_life;
+  name_row();
+  if (m_on_lost) {
+    m_on_lost();
+  }
+}
+
+lease_sweeper::lease_sweeper(std::string self, table_hooks table)
+    : m_self(std::move(self)), m_table(std::move(table)) {}
+
+void lease_sweeper::sweep(const std::string& data_centre, bool lost,
+                          instant now) {
+  if (m_busy) {
+    return;
+  }
+  m_busy = true;
+  const std::string prefix = std::string(lease_prefix) + data_centre + "/";
+  m_table.read({prefix, "", 10'000},
+               [this, lost, now](table_status status,
+                                 const std::vector<table_row>& rows) {
+                 m_busy = false;
+                 if (status != table_status::ok) {
+                   stand_still();
+                   return;
+                 }
+                 for (const table_row& it : rows) {
+                   look_at(it, lost, now);
+                 }
+               });
+}
+
+bool lease_sweeper::promise(const std::string& lease_id, instant now) {
+  const auto it = m_watched.find(lease_id);
+  if (it != m_watched.end() && it->second.fencing) {
+    return false;
+  }
+  m_promises[lease_id] = now + heir_promise + lease_margin;
+  m_wards[lease_id].heard_at = now;
+  return true;
+}
+
+void lease_sweeper::tick(instant now) {
+  for (std::pair<const std::string, ward>& it : m_wards) {
+    ward& w = it.second;
+    const bool silent = now - w.heard_at > ward_silent_after;
+    if (silent && !w.busy && now - w.read_at >= ward_read_spacing) {
+      read_ward(it.first, w, now);
+    }
+  }
+}
+
+void lease_sweeper::read_ward(const std::string& lease_id, ward& w,
+                              instant now) {
+  w.busy = true;
+  w.read_at = now;
+  m_table.read({lease_id, "", 1},
+               [this, lease_id, now](table_status status,
+                                     const std::vector<table_row>& rows) {
+                 m_wards[lease_id].busy = false;
+                 if (status != table_status::ok) {
+                   stand_still();
+                   return;
+                 }
+                 const bool there =
+                     !rows.empty() && rows.front().key == lease_id;
+                 const bool over =
+                     !there || parse_lease(rows.front().value).fenced;
+                 if (over) {
+                   m_wards.erase(lease_id);
+                   return;
+                 }
+                 look_at(rows.front(), false, now);
+               });
+}
+
+void lease_sweeper::stand_still() {
+  // Without the table no row can be seen to be unchanged: the waits begin
+  // again, but a fencing write that may still take effect is not forgotten.
+  for (std::pair<const std::string, watched>& it : m_watched) {
+    it.second.since.reset();
+  }
+}
+
+void lease_sweeper::look_at(const table_row& row, bool lost, instant now) {
+  watched& w = m_watched[row.key];
+  if (w.version != row.version) {
+    w = watched{row.version, std::nullopt, false};
+    return;
+  }
+  if (!w.since) {
+    w.since = now;
+    return;
+  }
+  const lease_record r = parse_lease(row.value);
+  const duration still = now - *w.since;
+  if (r.fenced) {
+    if (still > hold_over + lease_margin) {
+      m_table.commit({{row.key, row.version, std::nullopt, false}},
+                     [](table_status, std::uint64_t) {});
+      m_watched.erase(row.key);
+    }
+    return;
+  }
+  const auto promised = m_promises.find(row.key);
+  if (promised != m_promises.end()) {
+    if (now < promised->second) {
+      return;
+    }
+    m_promises.erase(promised);
+  }
+  const bool allowed = r.heir.empty() || lost || r.heir == m_self;
+  const duration wait = (allowed ? lease_span : hold_over) + lease_margin;
+  if (still > wait) {
+    fence(row, w);
+  }
+}
+
+void lease_sweeper::fence(const table_row& row, watched& w) {
+  w.fencing = true;
+  const std::string key = row.key;
+  const std::string value = to_json(lease_record{"", true, 0});
+  m_table.commit({{key, row.version, value, false}},
+                 [this, key](table_status status, std::uint64_t) {
+                   const bool settled = status == table_status::ok ||
+                                        status == table_status::conflict;
+                   if (settled) {
+                     m_watched.erase(key);
+                   }
+                 });
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/log_event.cpp
@@ -0,0 +1,43 @@
+// The catalogue of log events.
+#include "kingcupslip/core/log_event.hpp"
+
+namespace kingcupslip {
+
+const std::vector<event_info>& all_events() {
+  static const std::vector<event_info> events{
+      {event_id::node_started, "node_started", event_level::info},
+      {event_id::node_draining, "node_draining", event_level::info},
+      {event_id::node_stopped, "node_stopped", event_level::info},
+      {event_id::settings_refused, "settings_refused", event_level::error},
+      {event_id::target_announced, "target_announced", event_level::info},
+      {event_id::target_silent, "target_silent", event_level::warning},
+      {event_id::target_crashed, "target_crashed", event_level::warning},
+      {event_id::request_quarantined, "request_quarantined",
+       event_level::warning},
+      {event_id::member_joined, "member_joined", event_level::info},
+      {event_id::member_suspected, "member_suspected", event_level::warning},
+      {event_id::member_gone, "member_gone", event_level::warning},
+      {event_id::peer_refused, "peer_refused", event_level::warning},
+      {event_id::frame_dropped, "frame_dropped", event_level::warning},
+      {event_id::peer_silent, "peer_silent", event_level::warning},
+      {event_id::config_applied, "config_applied", event_level::info},
+      {event_id::config_stale, "config_stale", event_level::warning},
+      {event_id::config_written, "config_written", event_level::info},
+      {event_id::lease_lost, "lease_lost", event_level::warning},
+      {event_id::slots_changed, "slots_changed", event_level::info},
+      {event_id::admin_refused, "admin_refused", event_level::warning},
+      {event_id::admin_change, "admin_change", event_level::info},
+  };
+  return events;
+}
+
+const event_info& info_of(event_id id) {
+  for (const event_info& it : all_events()) {
+    if (it.id == id) {
+      return it;
+    }
+  }
+  return all_events().front();
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/log_event.hpp
@@ -0,0 +1,58 @@
+// Numbered log events; docs/events.md is their catalogue.
+#ifndef KINGCUPSLIP_CORE_LOG_EVENT_HPP
+#define KINGCUPSLIP_CORE_LOG_EVENT_HPP
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace kingcupslip {
+
+enum class event_level : std::uint8_t { info, warning, error };
+
+/// Numbers are stable: an event that is no longer logged keeps its number.
+enum class event_id : std::uint16_t {
+  node_started = 100,
+  node_draining = 101,
+  node_stopped = 102,
+  settings_refused = 103,
+  target_announced = 200,
+  target_silent = 201,
+  target_crashed = 202,
+  request_quarantined = 203,
+  member_joined = 300,
+  member_suspected = 301,
+  member_gone = 302,
+  peer_refused = 303,
+  frame_dropped = 304,
+  peer_silent = 305,
+  config_applied = 400,
+  config_stale = 401,
+  config_written = 402,
+  lease_lost = 500,
+  slots_changed = 501,
+  admin_refused = 600,
+  admin_change = 601
+};
+
+struct event_info {
+  event_id id;
+  std::string_view name;
+  event_level level;
+};
+
+/// The catalogue's row of an event.
+const event_info& info_of(event_id id);
+
+/// Every event there is, in order of number.
+const std::vector<event_info>& all_events();
+
+using event_fields = std::vector<std::pair<std::string, std::string>>;
+using event_sink = std::function<void(event_id id, const event_fields& f)>;
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/member_table.cpp
@@ -0,0 +1,328 @@
+// Merging of news, suspicion and placement over the members.
+#include "kingcupslip/core/member_table.hpp"
+
+#include "kingcupslip/core/digest.hpp"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr duration probe_timeout = std::chrono::seconds(1);
+constexpr duration suspicion_span = std::chrono::seconds(3);
+constexpr duration dead_kept = std::chrono::minutes(5);
+constexpr std::uint32_t probes_before_suspicion = 2;
+/// One probe in this many goes to another data centre.
+constexpr std::uint64_t far_probe_every = 8;
+constexpr duration failure_memory = std::chrono::seconds(1);
+
+using rank = std::tuple<std::uint64_t, std::uint64_t, std::uint8_t>;
+
+rank rank_of(const wire::memberT& m) {
+  return {m.incarnation, m.beat, m.state};
+}
+
+std::uint32_t tells_for(std::size_t members) {
+  std::uint32_t n = 3;
+  while (members > 1) {
+    n += 2;
+    members /= 2;
+  }
+  return n;
+}
+
+} // namespace
+
+std::string_view name_of(member_state s) {
+  constexpr std::array<std::string_view, 4> names{"alive", "suspect", "dead",
+                                                  "left"};
+  return names[static_cast<std::size_t>(s) % names.size()];
+}
+
+member_table::member_table(const node_identity& self, random_source random)
+    : m_self(self.node), m_data_centre(self.data_centre),
+      m_random(std::move(random)) {
+  member& me = m_members[m_self];
+  me.info.node = self.node;
+  me.info.data_centre = self.data_centre;
+  me.info.address = self.address;
+  me.info.admin_url = self.admin_url;
+  me.info.service = self.service;
+  me.info.incarnation = self.incarnation;
+  me.tells_left = tells_for(2);
+}
+
+bool member_table::merge(const wire::memberT& news, instant now) {
+  if (news.node == m_self) {
+    member& me = m_members[m_self];
+    const bool about_this_life =
+        news.incarnation == me.info.incarnation && news.beat >= me.info.beat;
+    if (about_this_life && news.state != me.info.state) {
+      // Somebody suspects this node: a higher beat refutes it.
+      me.info.beat = news.beat + 1;
+      spread(me);
+      return true;
+    }
+    return false;
+  }
+  const auto it = m_members.find(news.node);
+  if (it == m_members.end()) {
+    member& m = m_members[news.node];
+    m.info = news;
+    m.heard_at = now;
+    m.state_since = now;
+    spread(m);
+    return true;
+  }
+  member& m = it->second;
+  const bool left_for_good = m.state() == member_state::left &&
+                             news.incarnation == m.info.incarnation;
+  if (left_for_good || rank_of(news) <= rank_of(m.info)) {
+    return false;
+  }
+  const bool state_changed = m.info.state != news.state;
+  const bool restarted = news.incarnation != m.info.incarnation;
+  m.info = news;
+  if (state_changed || restarted) {
+    m.state_since = now;
+    m.probes_missed = 0;
+  }
+  if (restarted) {
+    m.failures = 0;
+  }
+  spread(m);
+  return true;
+}
+
+void member_table::on_heard(const std::string& node, instant now) {
+  if (member* m = find(node)) {
+    m->heard_at = now;
+    m->probes_missed = 0;
+    m->probe_sent_at = instant(0);
+  }
+}
+
+void member_table::tick(instant now) {
+  for (auto it = m_members.begin(); it != m_members.end();) {
+    member& m = it->second;
+    if (it->first == m_self) {
+      ++it;
+      continue;
+    }
+    const bool overdue = m.probe_sent_at != instant(0) &&
+                         now - m.probe_sent_at > probe_timeout;
+    if (overdue) {
+      m.probe_sent_at = instant(0);
+      ++m.probes_missed;
+      if (m.probes_missed >= probes_before_suspicion &&
+          m.state() == member_state::alive) {
+        set_state(m, member_state::suspect, now);
+      }
+    }
+    if (m.state() == member_state::suspect &&
+        now - m.state_since > suspicion_span) {
+      set_state(m, member_state::dead, now);
+    }
+    if (m.failures > 0 && now - m.failure_at > failure_memory) {
+      --m.failures;
+      m.failure_at = now;
+    }
+    const bool forgotten = !m.usable() && now - m.state_since > dead_kept;
+    it = forgotten ? m_members.erase(it) : std::next(it);
+  }
+}
+
+std::string member_table::next_probe(instant) {
+  const std::vector<std::string> candidates = [this] {
+    if (m_random() % far_probe_every == 0) {
+      return usable();
+    }
+    return usable(m_data_centre);
+  }();
+  // A member missed once is probed again before others, so that suspicion
+  // comes within seconds however many members there are.
+  for (const std::string& it : candidates) {
+    const member& m = m_members.at(it);
+    if (m.probes_missed > 0 && m.probe_sent_at == instant(0) && it != m_self) {
+      return it;
+    }
+  }
+  while (!m_probe_order.empty()) {
+    const std::string it = m_probe_order.back();
+    m_probe_order.pop_back();
+    const member* m = find(it);
+    if (m != nullptr && m->usable() && it != m_self) {
+      return it;
+    }
+  }
+  m_probe_order = candidates;
+  for (std::size_t i = m_probe_order.size(); i > 1; --i) {
+    std::swap(m_probe_order[i - 1], m_probe_order[m_random() % i]);
+  }
+  for (const std::string& it : m_probe_order) {
+    if (it != m_self) {
+      return it;
+    }
+  }
+  const std::vector<std::string> anyone = usable();
+  for (const std::string& it : anyone) {
+    if (it != m_self) {
+      return it;
+    }
+  }
+  return {};
+}
+
+void member_table::on_probe_sent(const std::string& node, instant now) {
+  member* m = find(node);
+  if (m != nullptr && m->probe_sent_at == instant(0)) {
+    m->probe_sent_at = now;
+  }
+}
+
+std::vector<std::unique_ptr<wire::memberT>>
+member_table::news(std::size_t most) {
+  std::vector<std::unique_ptr<wire::memberT>> out;
+  out.push_back(std::make_unique<wire::memberT>(self().info));
+  std::vector<member*> told;
+  for (std::pair<const std::string, member>& it : m_members) {
+    if (it.second.tells_left > 0 && it.first != m_self) {
+      told.push_back(&it.second);
+    }
+  }
+  std::sort(told.begin(), told.end(), [](const member* a, const member* b) {
+    return a->tells_left > b->tells_left;
+  });
+  for (member* m : told) {
+    if (out.size() >= most) {
+      break;
+    }
+    --m->tells_left;
+    out.push_back(std::make_unique<wire::memberT>(m->info));
+  }
+  return out;
+}
+
+std::vector<std::unique_ptr<wire::memberT>>
+member_table::sample(std::size_t most) {
+  std::vector<const member*> picks;
+  for (const std::pair<const std::string, member>& it : m_members) {
+    picks.push_back(&it.second);
+  }
+  std::vector<std::unique_ptr<wire::memberT>> out;
+  while (!picks.empty() && out.size() < most) {
+    const std::size_t i = m_random() % picks.size();
+    out.push_back(std::make_unique<wire::memberT>(picks[i]->info));
+    picks[i] = picks.back();
+    picks.pop_back();
+  }
+  return out;
+}
+
+void member_table::update_self(
+    const std::function<void(wire::memberT&)>& change, instant now) {
+  member& me = m_members[m_self];
+  change(me.info);
+  ++me.info.beat;
+  me.heard_at = now;
+  spread(me);
+}
+
+member* member_table::find(const std::string& node) {
+  const auto it = m_members.find(node);
+  return it == m_members.end() ? nullptr : &it->second;
+}
+
+std::vector<std::string>
+member_table::usable(const std::string& data_centre) const {
+  std::vector<std::string> out;
+  for (const std::pair<const std::string, member>& it : m_members) {
+    const bool here =
+        data_centre.empty() || it.second.info.data_centre == data_centre;
+    if (here && it.second.usable()) {
+      out.push_back(it.first);
+    }
+  }
+  return out;
+}
+
+std::vector<std::string>
+member_table::random_peers(const std::string& data_centre, std::size_t most) {
+  std::vector<std::string> from = usable(data_centre);
+  std::vector<std::string> out;
+  while (!from.empty() && out.size() < most) {
+    const std::size_t i = m_random() % from.size();
+    if (from[i] != m_self) {
+      out.push_back(from[i]);
+    }
+    from[i] = from.back();
+    from.pop_back();
+  }
+  return out;
+}
+
+std::string member_table::preferred(const std::string& subject,
+                                    const std::string& data_centre) const {
+  const std::string other = preferred_other(subject, data_centre);
+  const std::uint64_t mine = placement_hash(subject + "@" + m_self);
+  const bool mine_wins =
+      other.empty() || mine >= placement_hash(subject + "@" + other);
+  return mine_wins ? m_self : other;
+}
+
+std::string
+member_table::preferred_other(const std::string& subject,
+                              const std::string& data_centre) const {
+  std::string best;
+  std::uint64_t most = 0;
+  for (const std::string& it : usable(data_centre)) {
+    const std::uint64_t h = placement_hash(subject + "@" + it);
+    if (it != m_self && (best.empty() || h > most)) {
+      most = h;
+      best = it;
+    }
+  }
+  return best;
+}
+
+std::size_t
+member_table::rank_in_data_centre(const std::string& subject) const {
+  const std::uint64_t mine = placement_hash(subject + "@" + m_self);
+  std::size_t n = 0;
+  for (const std::string& it : usable(m_data_centre)) {
+    n += placement_hash(subject + "@" + it) > mine ? 1 : 0;
+  }
+  return n;
+}
+
+std::uint64_t member_table::digest() const {
+  std::uint64_t out = 0;
+  for (const std::pair<const std::string, member>& it : m_members) {
+    const wire::memberT& m = it.second.info;
+    if (!it.second.usable()) {
+      // How long the dead are remembered differs from node to node.
+      continue;
+    }
+    const std::string text = m.node + "/" + std::to_string(m.incarnation) +
+                             "/" + std::to_string(m.beat) + "/" +
+                             std::to_string(m.state);
+    out ^= placement_hash(text);
+  }
+  return out;
+}
+
+void member_table::set_state(member& m, member_state s, instant now) {
+  m.info.state = static_cast<std::uint8_t>(s);
+  m.state_since = now;
+  spread(m);
+}
+
+void member_table::spread(member& m) const {
+  m.tells_left = tells_for(m_members.size());
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/node.cpp
@@ -0,0 +1,389 @@
+// Wiring, message routing and the graceful shutdown.
+#include "kingcupslip/core/node.hpp"
+
+#include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/core/reply_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr std::uint64_t origin_mask = 0xffffff;
+/// While draining, callers are still served this long, so that whoever
+/// spreads them has time to see that the node is going.
+constexpr duration drain_grace = std::chrono::milliseconds(1500);
+/// Time for shares and goodbyes to get out.
+constexpr duration leave_span = std::chrono::milliseconds(700);
+constexpr duration report_patience = std::chrono::seconds(2);
+constexpr std::string_view report_prefix = "report/";
+
+entry_options with_secret(entry_options o, const std::string& secret) {
+  o.fleet_secret = secret;
+  return o;
+}
+
+} // namespace
+
+node::node(node_options options, node_hooks hooks)
+    : m_options(std::move(options)), m_hooks(std::move(hooks)),
+      m_members(m_options.self, m_hooks.random),
+      m_sync(m_config, m_members, m_hooks.table, m_hooks.send,
+             m_hooks.random),
+      m_lease(m_options.self, m_hooks.table),
+      m_sweeper(m_options.self.node, m_hooks.table),
+      m_slots(m_lease, m_hooks.table),
+      m_shares(
+          m_lease, m_hooks.table,
+          [this](const std::string& team) {
+            return m_config.find_contract(team);
+          },
+          [this](const std::string& lease, const std::string& team) {
+            for (const std::pair<const std::string, member>& it :
+                 m_members.all()) {
+              if (it.second.info.lease == lease) {
+                wire::share_hintT hint;
+                hint.team = team;
+                wire::payloadUnion body;
+                body.Set(std::move(hint));
+                m_hooks.send(it.first, std::move(body));
+              }
+            }
+          }),
+      m_calls(m_hooks.random() & origin_mask),
+      m_local(target_options{m_options.self.service, m_options.fleet_secret,
+                             m_options.most_in_flight,
+                             m_options.dispatch.plain_forwarding},
+              m_hooks.target, m_clock, m_crashes),
+      m_dispatch(m_options.dispatch, m_clock, m_members, m_config, m_calls,
+                 m_local, m_hooks.send, m_hooks.random),
+      m_owner(m_clock, m_slots, m_dispatch),
+      m_entry(with_secret(m_options.entry, m_options.fleet_secret),
+              entry_stage::parts{m_config, m_sync, m_members, m_shares,
+                                 m_crashes, m_dispatch, m_owner, m_slots,
+                                 m_local, m_calls, m_hooks.send,
+                                 m_hooks.random},
+              m_clock),
+      m_agent(fleet_agent::parts{m_options.self, m_config, m_sync, m_members,
+                                 m_lease, m_sweeper, m_slots, m_owner,
+                                 m_shares, m_crashes, m_entry.counts(),
+                                 m_hooks.table, m_hooks.send, m_hooks.random,
+                                 m_hooks.log},
+              m_clock) {}
+
+void node::tick() {
+  m_agent.tick();
+  tick_config();
+  m_local.tick();
+  m_agent.set_ready(m_local.ready());
+  m_dispatch.tick();
+  m_entry.tick();
+  m_owner.tick();
+  m_calls.expire(m_clock.now);
+  std::vector<std::uint64_t> overdue;
+  for (const std::pair<const std::uint64_t, report_pull>& it : m_reports) {
+    if (it.second.deadline <= m_clock.now) {
+      overdue.push_back(it.first);
+    }
+  }
+  for (const std::uint64_t id : overdue) {
+    finish_report(id);
+  }
+  tick_drain();
+}
+
+void node::on_request(caller_request request, outcome_handler handler) {
+  m_entry.on_request(std::move(request), std::move(handler));
+}
+
+void node::on_caller_gone(std::uint64_t connection) {
+  m_entry.on_caller_gone(connection);
+}
+
+void node::on_message(const std::string& from, wire::payloadUnion& body) {
+  switch (body.type) {
+  case wire::payload::call:
+    on_call(from, std::move(*body.Ascall()));
+    break;
+  case wire::payload::reply:
+    on_reply(from, *body.Asreply());
+    break;
+  case wire::payload::cancel:
+    on_cancel(from, *body.Ascancel());
+    break;
+  case wire::payload::ping:
+    m_agent.on_ping(from, *body.Asping());
+    break;
+  case wire::payload::pong:
+    m_agent.on_pong(from, *body.Aspong());
+    break;
+  case wire::payload::gossip:
+    m_agent.on_gossip(from, *body.Asgossip());
+    break;
+  case wire::payload::config_pull:
+    m_sync.on_pull(from, *body.Asconfig_pull(), m_clock.now);
+    break;
+  case wire::payload::config_delta:
+    m_sync.on_delta(from, *body.Asconfig_delta(), m_clock.now);
+    tick_config();
+    break;
+  case wire::payload::share_hint:
+    m_agent.on_share_hint(*body.Asshare_hint());
+    break;
+  case wire::payload::slot_handover:
+    m_agent.on_handover(from, *body.Asslot_handover());
+    break;
+  case wire::payload::slot_handover_done:
+    m_agent.on_handover_done(from, *body.Asslot_handover_done());
+    break;
+  case wire::payload::report_pull:
+    on_report_pull(from, *body.Asreport_pull());
+    break;
+  case wire::payload::report_rows:
+    on_report_rows(from, *body.Asreport_rows());
+    break;
+  case wire::payload::hello:
+  case wire::payload::hello_proof:
+  case wire::payload::NONE:
+    break;
+  }
+}
+
+void node::on_call_unsent(std::uint64_t correlation) {
+  m_calls.on_unsent(correlation);
+}
+
+void node::on_peer_lost(const std::string& peer) {
+  m_calls.on_peer_lost(peer);
+}
+
+void node::on_target_result(std::uint64_t run, target_result result) {
+  m_local.on_result(run, std::move(result));
+}
+
+void node::on_target_announce(const std::string& instance, bool draining) {
+  m_local.on_announce(instance, draining);
+  m_agent.set_ready(m_local.ready());
+}
+
+void node::add_seed(const std::string& name, const std::string& address) {
+  m_agent.add_seed(name, address);
+}
+
+void node::start_draining() {
+  if (m_drain_began) {
+    return;
+  }
+  m_drain_began = true;
+  m_drain_at = m_clock.now;
+  m_hooks.log(event_id::node_draining, {});
+  m_local.start_draining();
+  m_agent.set_ready(false);
+  m_agent.start_handover();
+}
+
+void node::write_config(change_request request, write_handler handler) {
+  const std::string key = request.key;
+  const std::string value = request.value;
+  const write_handler then = std::move(handler);
+  const write_handler noted = [this, key, value,
+                               then](const write_result& r) {
+    if (r.status == write_status::accepted) {
+      m_sync.on_written({key, value, r.sequence}, m_clock.now);
+      m_hooks.log(event_id::config_written,
+                  {{"key", key}, {"sequence", std::to_string(r.sequence)}});
+      tick_config();
+    }
+    then(r);
+  };
+  std::make_shared<config_write>(m_hooks.table, std::move(request), noted)
+      ->start();
+}
+
+void node::collect_report(std::function<void(fleet_report)> handler) {
+  const std::uint64_t id = ++m_next_report;
+  report_pull& pull = m_reports[id];
+  pull.handler = std::move(handler);
+  pull.deadline = m_clock.now + report_patience;
+  const std::string& self = m_options.self.node;
+  for (const std::string& it : m_members.usable()) {
+    if (it != self) {
+      pull.waiting.push_back(it);
+    }
+  }
+  const std::string own =
+      self + "#" + std::to_string(m_options.self.incarnation);
+  pull.rows[own] = counts().to_json();
+  for (const std::string& it : std::vector<std::string>(pull.waiting)) {
+    wire::report_pullT m;
+    m.correlation = id;
+    wire::payloadUnion body;
+    body.Set(std::move(m));
+    m_hooks.send(it, std::move(body));
+  }
+  m_hooks.table.read(
+      {std::string(report_prefix), "", 100'000},
+      [this, id](table_status status, const std::vector<table_row>& rows) {
+        const auto it = m_reports.find(id);
+        if (it == m_reports.end() || status != table_status::ok) {
+          return;
+        }
+        it->second.report.table_read = true;
+        for (const table_row& row : rows) {
+          // What a live node says itself is newer than its row.
+          it->second.rows.emplace(row.key.substr(report_prefix.size()),
+                                  row.value);
+        }
+        if (it->second.waiting.empty()) {
+          finish_report(id);
+        }
+      });
+}
+
+std::string node::address_of(const std::string& peer) {
+  const member* m = m_members.find(peer);
+  return m == nullptr ? std::string() : m->info.address;
+}
+
+void node::on_call(const std::string& from, wire::callT call) {
+  const std::uint64_t correlation = call.correlation;
+  const instant deadline = m_clock.now + duration(call.time_left_us);
+  const std::pair<std::string, std::uint64_t> id{from, correlation};
+  const outcome_handler handler = [this, id](outcome o) {
+    m_inbound.erase(id);
+    send_reply(id.first, id.second, std::move(o));
+  };
+  if (!m_recent.first_sight(from, correlation)) {
+    return;
+  }
+  m_inbound.emplace(id, inbound_call{});
+  if (call.kind == wire::call_kind::own) {
+    const std::shared_ptr<dispatch_job> job =
+        m_owner.handle(std::move(call), deadline, handler);
+    const auto it = m_inbound.find(id);
+    if (it != m_inbound.end()) {
+      it->second.job = job;
+    }
+    return;
+  }
+  const bool fenced =
+      call.epoch != 0 && !m_local.accept_epoch(call.slot, call.epoch);
+  if (fenced) {
+    handler(refusal(reason::owner_unreachable, verdict::may_have_run));
+    return;
+  }
+  const std::uint64_t ticket =
+      m_local.submit(std::move(call), deadline, handler);
+  const auto it = m_inbound.find(id);
+  if (it != m_inbound.end()) {
+    it->second.ticket = ticket;
+  }
+}
+
+void node::on_cancel(const std::string& from, const wire::cancelT& m) {
+  const auto it = m_inbound.find({from, m.correlation});
+  if (it == m_inbound.end()) {
+    return;
+  }
+  if (const std::shared_ptr<dispatch_job> job = it->second.job.lock()) {
+    m_dispatch.cancel(job);
+  } else {
+    m_local.cancel(it->second.ticket);
+  }
+}
+
+void node::on_reply(const std::string& from, wire::replyT& m) {
+  m_dispatch.on_load(from, m);
+  m_members.on_heard(from, m_clock.now);
+  m_calls.on_reply(from, m);
+}
+
+void node::on_report_pull(const std::string& from,
+                          const wire::report_pullT& m) {
+  wire::report_rowsT rows;
+  rows.correlation = m.correlation;
+  rows.node = m_options.self.node + "#" +
+              std::to_string(m_options.self.incarnation);
+  rows.rows = counts().to_json();
+  wire::payloadUnion body;
+  body.Set(std::move(rows));
+  m_hooks.send(from, std::move(body));
+}
+
+void node::on_report_rows(const std::string& from,
+                          const wire::report_rowsT& m) {
+  const auto it = m_reports.find(m.correlation);
+  if (it == m_reports.end()) {
+    return;
+  }
+  it->second.rows[m.node] = m.rows;
+  std::vector<std::string>& waiting = it->second.waiting;
+  waiting.erase(std::remove(waiting.begin(), waiting.end(), from),
+                waiting.end());
+  if (waiting.empty() && it->second.report.table_read) {
+    finish_report(m.correlation);
+  }
+}
+
+void node::finish_report(std::uint64_t id) {
+  const auto it = m_reports.find(id);
+  report_pull pull = std::move(it->second);
+  m_reports.erase(it);
+  pull.report.unreachable = std::move(pull.waiting);
+  for (const std::pair<const std::string, std::string>& row : pull.rows) {
+    pull.report.counts.add_json(row.second);
+  }
+  pull.handler(std::move(pull.report));
+}
+
+void node::send_reply(const std::string& to, std::uint64_t correlation,
+                      outcome o) {
+  wire::replyT reply = to_reply(correlation, std::move(o));
+  reply.limit = static_cast<float>(m_local.limit());
+  reply.in_flight = static_cast<std::uint32_t>(m_local.in_flight());
+  reply.queued = static_cast<std::uint32_t>(m_local.queued());
+  wire::payloadUnion body;
+  body.Set(std::move(reply));
+  m_hooks.send(to, std::move(body));
+}
+
+void node::tick_drain() {
+  if (!m_drain_began || m_left) {
+    return;
+  }
+  const duration since = m_clock.now - m_drain_at;
+  if (since >= drain_grace) {
+    m_entry.start_draining();
+  }
+  const bool settled = since >= drain_grace && m_entry.in_progress() == 0 &&
+                       m_local.idle() && m_inbound.empty() &&
+                       m_agent.handed_over();
+  if (!m_leaving && (settled || since >= m_options.drain_limit)) {
+    m_leaving = true;
+    m_leave_at = m_clock.now;
+    m_agent.leave();
+  }
+  if (m_leaving && m_clock.now - m_leave_at >= leave_span) {
+    m_lease.release();
+    m_left = true;
+  }
+}
+
+void node::tick_config() {
+  const std::vector<std::string> withdrawn = m_config.drain_withdrawn();
+  if (!withdrawn.empty()) {
+    m_local.refuse_keys(withdrawn);
+  }
+  m_local.set_out(
+      m_config.target_out(m_options.self.node) ||
+      m_config.data_centre_out(m_options.self.data_centre));
+  if (m_config.sequence() != m_logged_sequence) {
+    m_logged_sequence = m_config.sequence();
+    m_hooks.log(event_id::config_applied,
+                {{"sequence", std::to_string(m_logged_sequence)}});
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/owner_stage.cpp
@@ -0,0 +1,133 @@
+// At-most-once handling and hand-over of memory.
+#include "kingcupslip/core/owner_stage.hpp"
+
+#include "kingcupslip/core/reply_codec.hpp"
+
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr std::size_t most_remembered = 20'000;
+constexpr std::size_t most_remembered_bytes = 8UL * 1024 * 1024;
+constexpr duration expire_spacing = std::chrono::seconds(1);
+constexpr std::chrono::milliseconds owner_retry_after{1000};
+
+} // namespace
+
+owner_stage::owner_stage(const clock_reading& clock, slot_owner& slots,
+                         dispatcher& dispatch)
+    : m_clock(clock), m_slots(slots), m_dispatch(dispatch),
+      m_memory(most_remembered, most_remembered_bytes) {}
+
+std::shared_ptr<dispatch_job>
+owner_stage::handle(wire::callT request, instant deadline,
+                    outcome_handler handler,
+                    std::function<void(reason)> on_retry) {
+  const std::uint32_t slot = slot_of(request.team, request.idempotency_key);
+  const owned_slot* held = m_slots.owned(slot, m_clock.now);
+  if (held == nullptr || m_frozen.count(slot) != 0) {
+    // Whoever owns the slot may have let an earlier sending run.
+    handler(refusal(reason::owner_unreachable, verdict::may_have_run,
+                    owner_retry_after));
+    return nullptr;
+  }
+  const std::string team = request.team;
+  const std::string key = request.idempotency_key;
+  std::optional<outcome> known = m_memory.begin(
+      team, key, request.digest, held->complete_since, m_clock);
+  if (known) {
+    handler(std::move(*known));
+    return nullptr;
+  }
+  const std::uint64_t epoch = held->epoch;
+  request.slot = slot;
+  request.epoch = epoch;
+  std::shared_ptr<dispatch_job> job = std::make_shared<dispatch_job>();
+  job->request = std::move(request);
+  job->deadline = deadline;
+  job->on_retry = std::move(on_retry);
+  job->may_send = [this, slot, epoch] {
+    const owned_slot* now_held = m_slots.owned(slot, m_clock.now);
+    const bool still = now_held != nullptr && now_held->epoch == epoch;
+    return still ? reason::none : reason::owner_unreachable;
+  };
+  job->done = [this, team, key, handler](outcome o) {
+    m_memory.finish(team, key, o, m_clock.now);
+    handler(std::move(o));
+  };
+  m_dispatch.dispatch(job);
+  return job;
+}
+
+wire::slot_handoverT owner_stage::pack(std::uint32_t slot,
+                                       std::uint64_t epoch,
+                                       wall_time complete_since) {
+  wire::slot_handoverT out;
+  out.slot = slot;
+  out.epoch = epoch;
+  out.complete_since_ms = static_cast<std::uint64_t>(complete_since.count());
+  const auto in_slot = [slot](const remembered_request& r) {
+    return slot_of(r.team, r.key) == slot;
+  };
+  for (remembered_request& it : m_memory.entries_of(in_slot)) {
+    std::unique_ptr<wire::memory_entryT> e =
+        std::make_unique<wire::memory_entryT>();
+    e->team = it.team;
+    e->key = it.key;
+    e->digest = it.digest;
+    // What is still running here cannot be answered for elsewhere.
+    const outcome answer =
+        it.running ? refusal(reason::outcome_unknown, verdict::may_have_run)
+                   : it.answer;
+    e->verdict = static_cast<std::uint8_t>(answer.ran);
+    e->status = answer.status;
+    const duration age =
+        it.running ? duration(0) : m_clock.now - it.finished_at;
+    e->age_ms =
+        static_cast<std::uint32_t>(age / std::chrono::milliseconds(1));
+    e->headers = to_wire(answer.headers);
+    e->body = answer.body;
+    out.entries.push_back(std::move(e));
+  }
+  return out;
+}
+
+bool owner_stage::busy(std::uint32_t slot) const {
+  const auto running = [slot](const remembered_request& r) {
+    return r.running && slot_of(r.team, r.key) == slot;
+  };
+  return !m_memory.entries_of(running).empty();
+}
+
+void owner_stage::adopt(const wire::slot_handoverT& m) {
+  for (const std::unique_ptr<wire::memory_entryT>& it : m.entries) {
+    remembered_request r;
+    r.team = it->team;
+    r.key = it->key;
+    r.digest = it->digest;
+    r.finished_at = m_clock.now - std::chrono::milliseconds(it->age_ms);
+    const bool ran = it->verdict == static_cast<std::uint8_t>(verdict::ran);
+    r.answer = ran ? outcome{}
+                   : refusal(reason::outcome_unknown, verdict::may_have_run);
+    if (ran) {
+      r.answer.ran = verdict::ran;
+      r.answer.status = it->status;
+      r.answer.headers = from_wire(it->headers);
+      r.answer.body = it->body;
+    }
+    m_memory.adopt(std::move(r));
+  }
+  m_slots.expect(m.slot, m.epoch,
+                 wall_time(static_cast<std::int64_t>(m.complete_since_ms)));
+}
+
+void owner_stage::tick() {
+  if (m_clock.now - m_expired_at >= expire_spacing) {
+    m_expired_at = m_clock.now;
+    m_memory.expire(m_clock.now);
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/pending_calls.cpp
@@ -0,0 +1,76 @@
+// Matching of replies with calls.
+#include "kingcupslip/core/pending_calls.hpp"
+
+#include "kingcupslip/core/reply_codec.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr std::uint64_t counter_bits = 40;
+/// A reply may be on its way when its deadline passes.
+constexpr duration reply_grace = std::chrono::milliseconds(50);
+
+} // namespace
+
+pending_calls::pending_calls(std::uint64_t origin)
+    : m_next(origin << counter_bits) {}
+
+std::uint64_t pending_calls::add(const std::string& node, instant deadline,
+                                 outcome_handler handler) {
+  const std::uint64_t correlation = ++m_next;
+  m_calls.emplace(correlation, pending{node, deadline, std::move(handler)});
+  return correlation;
+}
+
+bool pending_calls::on_reply(const std::string& node, wire::replyT& reply) {
+  const auto it = m_calls.find(reply.correlation);
+  if (it == m_calls.end() || it->second.node != node) {
+    return false;
+  }
+  const outcome_handler handler = std::move(it->second.handler);
+  m_calls.erase(it);
+  handler(from_reply(reply));
+  return true;
+}
+
+void pending_calls::on_unsent(std::uint64_t correlation) {
+  end_all([correlation](std::uint64_t id,
+                        const pending&) { return id == correlation; },
+          refusal(reason::node_unreachable));
+}
+
+void pending_calls::on_peer_lost(const std::string& node) {
+  end_all([&node](std::uint64_t, const pending& p) { return p.node == node; },
+          refusal(reason::connection_lost, verdict::may_have_run));
+}
+
+void pending_calls::expire(instant now) {
+  end_all(
+      [now](std::uint64_t, const pending& p) {
+        return p.deadline + reply_grace < now;
+      },
+      refusal(reason::deadline, verdict::may_have_run));
+}
+
+template <class Predicate>
+void pending_calls::end_all(Predicate picked, const outcome& with) {
+  std::vector<outcome_handler> handlers;
+  for (auto it = m_calls.begin(); it != m_calls.end();) {
+    if (!picked(it->first, it->second)) {
+      ++it;
+      continue;
+    }
+    handlers.push_back(std::move(it->second.handler));
+    it = m_calls.erase(it);
+  }
+  // Handlers may add calls, so they run after the walk.
+  for (const outcome_handler& it : handlers) {
+    it(with);
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/reply_codec.hpp
@@ -0,0 +1,29 @@
+// Outcomes to and from the reply message between nodes.
+#ifndef KINGCUPSLIP_CORE_REPLY_CODEC_HPP
+#define KINGCUPSLIP_CORE_REPLY_CODEC_HPP
+
+#include "kingcupslip/core/outcome.hpp"
+#include "kingcupslip/wire/generated/messages.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace kingcupslip {
+
+using wire_headers = std::vector<std::unique_ptr<wire::header_fieldT>>;
+
+wire_headers to_wire(const std::vector<header>& headers);
+std::vector<header> from_wire(const wire_headers& headers);
+
+wire::replyT to_reply(std::uint64_t correlation, outcome o);
+
+/// Values outside the tables become `may_have_run` and `connection_lost`:
+/// an answer that cannot be read proves nothing.
+outcome from_reply(wire::replyT& reply);
+
+/// A copy of a call; the generated type cannot be copied.
+wire::callT copy_of(const wire::callT& c);
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/retry_ratio.hpp
@@ -0,0 +1,39 @@
+// Keeps retries a small share of first tries, and stops them in overload.
+#ifndef KINGCUPSLIP_CORE_RETRY_RATIO_HPP
+#define KINGCUPSLIP_CORE_RETRY_RATIO_HPP
+
+#include "kingcupslip/core/time.hpp"
+
+#include <cstdint>
+#include <functional>
+
+namespace kingcupslip {
+
+/// One per service at each node. First tries earn a tenth of a retry each;
+/// while half of the recent tries were refused for overload, none is spent.
+class retry_ratio {
+public:
+  void on_first_try();
+  void on_result(bool overloaded, instant now);
+
+  /// Spends one retry, or says that none may be made now.
+  bool spend(instant now);
+
+  bool closed(instant now);
+
+private:
+  void age(instant now);
+
+  double m_tokens = 10;
+  double m_tries = 0;
+  double m_overloaded = 0;
+  instant m_aged_at{0};
+};
+
+/// Full-jitter exponential delay before retry number `n` (from 1).
+duration retry_delay(std::uint32_t n,
+                     const std::function<std::uint64_t()>& random);
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/share_book.hpp
@@ -0,0 +1,95 @@
+// This node's shares of the teams' rates, and the buckets filled by them.
+#ifndef KINGCUPSLIP_CORE_SHARE_BOOK_HPP
+#define KINGCUPSLIP_CORE_SHARE_BOOK_HPP
+
+#include "kingcupslip/core/contract.hpp"
+#include "kingcupslip/core/lease.hpp"
+#include "kingcupslip/core/share_row.hpp"
+#include "kingcupslip/core/table.hpp"
+#include "kingcupslip/core/token_bucket.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kingcupslip {
+
+/// Admits requests against the node's share of each team's rate and burst.
+///
+/// A share is lowered here before the table is told, and raised here only
+/// after the table has it on record, so the sum over all nodes never exceeds
+/// the whole. The table is written only when demand moved.
+class share_book {
+public:
+  using contract_source = std::function<const contract*(const std::string&)>;
+  /// Asks a lease's holder to look at a team's row.
+  using hint_sender =
+      std::function<void(const std::string& lease, const std::string& team)>;
+
+  share_book(const lease_holder& lease, table_hooks table,
+             contract_source contracts, hint_sender hint);
+
+  /// Counts the demand and takes a token. `wait` is when to come back.
+  bool admit(const std::string& team, instant now, duration& wait);
+
+  /// Follows the lease, measures demand and settles rows that need it.
+  void tick(instant now);
+
+  /// Another node wants a part of this team's rate.
+  void on_hint(const std::string& team, instant now);
+
+  /// The lease was lost: every share is gone.
+  void drop_all(instant now);
+
+  /// Gives all shares back; for a graceful shutdown.
+  void return_all(instant now);
+
+  std::uint32_t held(const std::string& team) const;
+  std::size_t teams() const { return m_teams.size(); }
+
+private:
+  struct team_share {
+    token_bucket bucket;
+    std::uint32_t held = 0;
+    double asked_per_s = 0; ///< smoothed
+    std::uint32_t asked = 0;
+    std::uint32_t refused = 0;
+    std::uint32_t told_wanted = 0; ///< as the row has it
+    instant asked_at{0};
+    instant settle_at{0}; ///< not before; spaces out table calls
+    bool busy = false;
+  };
+
+  void measure(team_share& s, duration span) const;
+  std::uint32_t wanted(const team_share& s, const contract& c,
+                       instant now) const;
+  bool needs_settling(const team_share& s, std::uint32_t want) const;
+  void apply(const std::string& team, team_share& s, instant now);
+  void settle(const std::string& team, instant now);
+  void on_row(const std::string& team, std::uint64_t version, share_row row,
+              instant began);
+  /// Looks whether entries in the way belong to leases that have ended.
+  /// What is taken back is written in a transaction of its own, which fails
+  /// if the row or the lease moved meanwhile.
+  void reclaim(const std::string& team, const share_row& row);
+  void reclaim_ended(const std::string& team, const std::string& lease,
+                     const std::vector<table_row>& lease_rows);
+  static bool take_back(share_row& row, const std::string& lease,
+                        bool floor_stays);
+  void commit(const std::string& team, std::uint64_t version,
+              const share_row& row, std::uint32_t held_after);
+
+  const lease_holder& m_lease;
+  table_hooks m_table;
+  contract_source m_contracts;
+  hint_sender m_hint;
+  std::map<std::string, team_share> m_teams;
+  instant m_ticked_at{0};
+  bool m_returned = false;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/share_row.cpp
@@ -0,0 +1,94 @@
+// Max-min division and the row's JSON form.
+#include "kingcupslip/core/share_row.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstddef>
+
+namespace kingcupslip {
+
+namespace {
+
+using nlohmann::json;
+
+} // namespace
+
+share_entry* share_row::find(std::string_view lease) {
+  for (share_entry& it : entries) {
+    if (it.lease == lease) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+std::uint32_t share_row::total_held() const {
+  std::uint32_t n = 0;
+  for (const share_entry& it : entries) {
+    n += it.held;
+  }
+  return n;
+}
+
+std::vector<std::uint32_t> fair_shares(const share_row& row) {
+  std::vector<std::uint32_t> out(row.entries.size(), 0);
+  std::uint32_t left = whole_share;
+  std::vector<std::size_t> open;
+  for (std::size_t i = 0; i < row.entries.size(); ++i) {
+    const share_entry& it = row.entries[i];
+    if (it.floor_only) {
+      // Its holder may still use the floor: nobody else can have it.
+      out[i] = it.held;
+      left -= std::min(left, it.held);
+    } else if (it.wanted > 0) {
+      open.push_back(i);
+    }
+  }
+  std::sort(open.begin(), open.end(), [&row](std::size_t a, std::size_t b) {
+    return row.entries[a].wanted < row.entries[b].wanted;
+  });
+  for (std::size_t k = 0; k < open.size(); ++k) {
+    const std::uint32_t even =
+        left / static_cast<std::uint32_t>(open.size() - k);
+    out[open[k]] = std::min(row.entries[open[k]].wanted, even);
+    left -= out[open[k]];
+  }
+  for (std::size_t k = 0; k < open.size(); ++k) {
+    const std::uint32_t part =
+        left / static_cast<std::uint32_t>(open.size() - k);
+    out[open[k]] += part;
+    left -= part;
+  }
+  return out;
+}
+
+std::string to_json(const share_row& row) {
+  json out = json::array();
+  for (const share_entry& it : row.entries) {
+    out.push_back({{"lease", it.lease},
+                   {"held", it.held},
+                   {"wanted", it.wanted},
+                   {"floor_only", it.floor_only}});
+  }
+  return out.dump();
+}
+
+share_row parse_share_row(std::string_view json_text) {
+  share_row out;
+  const json rows = json::parse(json_text, nullptr, false);
+  if (!rows.is_array()) {
+    return out;
+  }
+  for (const json& it : rows) {
+    share_entry e;
+    e.lease = it.value("lease", "");
+    e.held = it.value("held", 0U);
+    e.wanted = it.value("wanted", 0U);
+    e.floor_only = it.value("floor_only", false);
+    out.entries.push_back(e);
+  }
+  return out;
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/span_budget.cpp
@@ -0,0 +1,43 @@
+// Reservation of retries per span.
+#include "kingcupslip/core/span_budget.hpp"
+
+#include <algorithm>
+
+namespace kingcupslip {
+
+void span_budget::open(std::uint64_t span, std::uint32_t retries) {
+  m_spans[span] = budget{retries, 0};
+}
+
+std::uint32_t span_budget::close(std::uint64_t span) {
+  const auto it = m_spans.find(span);
+  if (it == m_spans.end()) {
+    return 0;
+  }
+  const std::uint32_t spent = it->second.spent;
+  m_spans.erase(it);
+  return spent;
+}
+
+std::uint32_t span_budget::reserve(std::uint64_t span) {
+  const auto it = m_spans.find(span);
+  if (it == m_spans.end()) {
+    return 0;
+  }
+  const std::uint32_t part = (it->second.left + 1) / 2;
+  it->second.left -= part;
+  return part;
+}
+
+void span_budget::give_back(std::uint64_t span, std::uint32_t reserved,
+                            std::uint32_t used) {
+  const auto it = m_spans.find(span);
+  if (it == m_spans.end()) {
+    return;
+  }
+  const std::uint32_t spent = std::min(reserved, used);
+  it->second.left += reserved - spent;
+  it->second.spent += spent;
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/tally.cpp
@@ -0,0 +1,109 @@
+// The closing report's rows and their JSON form.
+#include "kingcupslip/core/tally.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcupslip {
+
+namespace {
+
+using nlohmann::json;
+using reason_counts = std::array<std::uint64_t, reason_count>;
+
+json to_object(const reason_counts& counts) {
+  json out = json::object();
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    if (counts[i] > 0) {
+      out[std::string(info_of(static_cast<reason>(i)).name)] = counts[i];
+    }
+  }
+  return out;
+}
+
+reason_counts from_object(const json& object) {
+  reason_counts out{};
+  for (std::size_t i = 0; i < out.size(); ++i) {
+    const std::string name(info_of(static_cast<reason>(i)).name);
+    out[i] = object.value(name, std::uint64_t{0});
+  }
+  return out;
+}
+
+void add_counts(reason_counts& to, const reason_counts& from) {
+  for (std::size_t i = 0; i < to.size(); ++i) {
+    to[i] += from[i];
+  }
+}
+
+} // namespace
+
+void route_tally::add(const route_tally& other) {
+  asked += other.asked;
+  ran += other.ran;
+  may_have_run += other.may_have_run;
+  replayed += other.replayed;
+  add_counts(refused, other.refused);
+  add_counts(uncertain, other.uncertain);
+  add_counts(retried, other.retried);
+}
+
+void tally::on_outcome(const tally_key& key, const outcome& o) {
+  route_tally& row = m_rows[key];
+  switch (o.ran) {
+  case verdict::ran:
+    ++row.ran;
+    return;
+  case verdict::may_have_run:
+    ++row.may_have_run;
+    ++row.uncertain[static_cast<std::size_t>(o.why)];
+    return;
+  case verdict::not_run:
+    ++row.refused[static_cast<std::size_t>(o.why)];
+    return;
+  }
+}
+
+void tally::on_retry(const tally_key& key, reason why) {
+  ++m_rows[key].retried[static_cast<std::size_t>(why)];
+}
+
+std::string tally::to_json() const {
+  json out = json::array();
+  for (const std::pair<const tally_key, route_tally>& it : m_rows) {
+    const route_tally& t = it.second;
+    out.push_back({{"team", it.first.first},
+                   {"route", it.first.second},
+                   {"asked", t.asked},
+                   {"ran", t.ran},
+                   {"may_have_run", t.may_have_run},
+                   {"replayed", t.replayed},
+                   {"refused", to_object(t.refused)},
+                   {"uncertain", to_object(t.uncertain)},
+                   {"retried", to_object(t.retried)}});
+  }
+  return out.dump();
+}
+
+bool tally::add_json(std::string_view text) {
+  const json rows = json::parse(text, nullptr, false);
+  if (!rows.is_array()) {
+    return false;
+  }
+  for (const json& it : rows) {
+    if (!it.is_object()) {
+      return false;
+    }
+    route_tally t;
+    t.asked = it.value("asked", std::uint64_t{0});
+    t.ran = it.value("ran", std::uint64_t{0});
+    t.may_have_run = it.value("may_have_run", std::uint64_t{0});
+    t.replayed = it.value("replayed", std::uint64_t{0});
+    t.refused = from_object(it.value("refused", json::object()));
+    t.uncertain = from_object(it.value("uncertain", json::object()));
+    t.retried = from_object(it.value("retried", json::object()));
+    add({it.value("team", ""), it.value("route", "")}, t);
+  }
+  return true;
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/tally.hpp
@@ -0,0 +1,54 @@
+// Counts per team and route: what was asked, what ran, what was refused.
+#ifndef KINGCUPSLIP_CORE_TALLY_HPP
+#define KINGCUPSLIP_CORE_TALLY_HPP
+
+#include "kingcupslip/core/outcome.hpp"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace kingcupslip {
+
+/// Totals of one team on one route. Invariant: asked is at least
+/// ran + may_have_run + the sum of refused; the rest is in progress.
+struct route_tally {
+  std::uint64_t asked = 0;
+  std::uint64_t ran = 0;
+  std::uint64_t may_have_run = 0;
+  std::uint64_t replayed = 0;
+  std::array<std::uint64_t, reason_count> refused{};   ///< surely not run
+  std::array<std::uint64_t, reason_count> uncertain{}; ///< may have run
+  std::array<std::uint64_t, reason_count> retried{};
+
+  void add(const route_tally& other);
+};
+
+/// (team, service and path prefix)
+using tally_key = std::pair<std::string, std::string>;
+
+/// A node's counters of the requests that entered the fleet through it.
+class tally {
+public:
+  void on_asked(const tally_key& key) { ++m_rows[key].asked; }
+  void on_outcome(const tally_key& key, const outcome& o);
+  void on_retry(const tally_key& key, reason why);
+  void add(const tally_key& key, const route_tally& t) { m_rows[key].add(t); }
+
+  const std::map<tally_key, route_tally>& rows() const { return m_rows; }
+
+  /// The rows as a JSON array, and back. Reading adds to what is held and
+  /// is false for text that is not such an array.
+  std::string to_json() const;
+  bool add_json(std::string_view text);
+
+private:
+  std::map<tally_key, route_tally> m_rows;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -0,0 +1,375 @@
+// The decisions of admission beside the target.
+#include "kingcupslip/core/target_stage.hpp"
+
+#include "kingcupslip/core/call_context.hpp"
+#include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/core/header_names.hpp"
+#include "kingcupslip/core/reply_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr duration announce_timeout = std::chrono::milliseconds(2500);
+/// Runs that a crash broke are all lost within this span.
+constexpr duration loss_span = std::chrono::milliseconds(200);
+constexpr std::size_t least_queue = 16;
+constexpr std::size_t queue_per_limit = 4;
+constexpr std::uint16_t service_unavailable = 503;
+constexpr std::uint16_t too_many_requests = 429;
+constexpr std::chrono::milliseconds shed_retry_after{1000};
+
+bool target_said_not_run(const target_result& r) {
+  return std::any_of(r.headers.begin(), r.headers.end(), [](const header& h) {
+    return same_header(h.name, header_names::verdict) &&
+           h.value == name_of(verdict::not_run);
+  });
+}
+
+bool target_shed(const target_result& r) {
+  return r.end == target_end::answered &&
+         (r.status == service_unavailable || r.status == too_many_requests);
+}
+
+} // namespace
+
+target_stage::target_stage(target_options options, target_hooks hooks,
+                           const clock_reading& clock, quarantine& crashes)
+    : m_options(std::move(options)), m_hooks(std::move(hooks)),
+      m_clock(clock), m_crashes(crashes), m_limit(m_options.most_in_flight) {}
+
+std::uint64_t target_stage::submit(wire::callT request, instant deadline,
+                                   outcome_handler handler) {
+  const std::uint64_t ticket = ++m_next;
+  if (const std::optional<reason> why = refuse_at_once(request, deadline)) {
+    handler(refusal(*why, verdict::not_run, shed_retry_after));
+    return ticket;
+  }
+  waiting_request w;
+  w.id = ticket;
+  w.team = request.team;
+  w.weight = request.weight;
+  w.rank = static_cast<priority>(
+      std::min<std::size_t>(request.priority, priority_count - 1));
+  w.wait = request.patient ? patience::patient : patience::impatient;
+  w.depth = request.depth;
+  w.min_share_percent = request.min_share_percent;
+  w.deadline = deadline;
+  w.queued_at = m_clock.now;
+  m_held.emplace(ticket,
+                 held_call{std::move(request), deadline, std::move(handler)});
+  std::vector<shed_request> gone;
+  m_queue.offer(std::move(w), queue_capacity(), gone);
+  shed(gone);
+  start_waiting();
+  return ticket;
+}
+
+void target_stage::cancel(std::uint64_t ticket) {
+  if (m_queue.remove(ticket)) {
+    end_held(ticket, refusal(reason::cancelled));
+    return;
+  }
+  const auto it = m_run_by_ticket.find(ticket);
+  if (it != m_run_by_ticket.end()) {
+    m_runs.at(it->second).cancelled = true;
+    m_hooks.cancel(it->second);
+  }
+}
+
+void target_stage::on_result(std::uint64_t run_id, target_result result) {
+  const auto it = m_runs.find(run_id);
+  if (it == m_runs.end()) {
+    return;
+  }
+  run r = std::move(it->second);
+  learn(r, result);
+  if (result.end == target_end::lost && !r.cancelled) {
+    note_loss(run_id);
+  }
+  m_runs.erase(run_id);
+  m_run_by_ticket.erase(r.ticket);
+  if (m_suspect_run == run_id) {
+    m_suspect_run = 0;
+  }
+  outcome o = judge(r, std::move(result));
+  o.retries_used = m_spans.close(r.span);
+  r.handler(std::move(o));
+  start_waiting();
+}
+
+void target_stage::on_announce(const std::string& instance, bool draining) {
+  const bool fresh = instance != m_instance;
+  if (fresh) {
+    m_limit.restart();
+    m_hooks.log(event_id::target_announced, {{"instance", instance}});
+  }
+  if (m_loss) {
+    settle_loss(fresh);
+  }
+  m_instance = instance;
+  m_announced_at = m_clock.now;
+  m_target_draining = draining;
+  m_ready = true;
+  start_waiting();
+}
+
+void target_stage::tick() {
+  if (m_ready && m_clock.now - m_announced_at > announce_timeout) {
+    m_ready = false;
+    m_hooks.log(event_id::target_silent, {{"instance", m_instance}});
+    if (m_loss) {
+      settle_loss(true);
+    }
+    const auto everyone = [](const waiting_request&) { return true; };
+    for (const waiting_request& it : m_queue.remove_if(everyone)) {
+      end_held(it.id, refusal(reason::no_target));
+    }
+  }
+  start_waiting();
+}
+
+void target_stage::set_out(bool out) {
+  if (m_out && !out) {
+    m_limit.restart();
+  }
+  m_out = out;
+}
+
+void target_stage::refuse_keys(const std::vector<std::string>& key_ids) {
+  const auto withdrawn = [this, &key_ids](const waiting_request& w) {
+    const std::string& id = m_held.at(w.id).request.api_key_id;
+    return std::find(key_ids.begin(), key_ids.end(), id) != key_ids.end();
+  };
+  for (const waiting_request& it : m_queue.remove_if(withdrawn)) {
+    end_held(it.id, refusal(reason::withdrawn_key));
+  }
+}
+
+bool target_stage::accept_epoch(std::uint32_t slot, std::uint64_t epoch) {
+  std::uint64_t& highest = m_epochs[slot];
+  if (epoch < highest) {
+    return false;
+  }
+  highest = epoch;
+  return true;
+}
+
+std::optional<reason>
+target_stage::refuse_at_once(const wire::callT& request,
+                             instant deadline) const {
+  if (m_draining || m_target_draining || m_out) {
+    return reason::draining;
+  }
+  if (!m_ready || request.service != m_options.service) {
+    return reason::no_target;
+  }
+  if (deadline <= m_clock.now) {
+    return reason::deadline;
+  }
+  if (m_crashes.condemned(request.digest, m_clock.now)) {
+    return reason::quarantined;
+  }
+  if (m_options.plain_forwarding) {
+    return std::nullopt;
+  }
+  const priority rank = static_cast<priority>(
+      std::min<std::size_t>(request.priority, priority_count - 1));
+  const bool must_wait = m_runs.size() >= m_limit.limit();
+  const bool too_late = must_wait && request.patient &&
+                        m_clock.now + expected_wait(rank) > deadline;
+  if (too_late) {
+    return reason::shed;
+  }
+  return std::nullopt;
+}
+
+void target_stage::start_waiting() {
+  std::vector<shed_request> gone;
+  const std::size_t limit = m_options.plain_forwarding
+                                ? m_options.most_in_flight
+                                : m_limit.limit();
+  while (m_ready && m_runs.size() < limit && m_queue.size() > 0) {
+    const duration service =
+        m_options.plain_forwarding ? duration(0) : m_limit.floor_latency();
+    std::optional<waiting_request> w =
+        m_queue.take(m_clock.now, service, gone);
+    if (!w) {
+      break;
+    }
+    const auto it = m_held.find(w->id);
+    const std::uint64_t digest = it->second.request.digest;
+    if (m_crashes.suspected(digest, m_clock.now) && suspect_running()) {
+      // One suspect at a time, so that a second crash names its cause. It
+      // waits for the one that runs and does not hold up the others.
+      gone.push_back({w->id, reason::shed});
+      continue;
+    }
+    held_call call = std::move(it->second);
+    m_held.erase(it);
+    start(w->id, std::move(call));
+  }
+  shed(gone);
+}
+
+void target_stage::start(std::uint64_t ticket, held_call call) {
+  const std::uint64_t id = ++m_next;
+  run r;
+  r.ticket = ticket;
+  r.digest = call.request.digest;
+  r.span = placement_hash(m_options.service + std::to_string(id) + "/" +
+                          std::to_string(m_clock.wall.count()));
+  r.began = m_clock.now;
+  r.deadline = call.deadline;
+  r.idempotent = call.request.idempotent;
+  r.handler = std::move(call.handler);
+  if (m_crashes.suspected(r.digest, m_clock.now)) {
+    m_suspect_run = id;
+  }
+  m_spans.open(r.span, call.request.retries);
+  const duration left = call.deadline - m_clock.now;
+  target_request out = to_target(call.request, r.span, left);
+  out.body = std::move(call.request.body);
+  m_run_by_ticket[ticket] = id;
+  m_runs.emplace(id, std::move(r));
+  m_hooks.run(id, std::move(out));
+}
+
+void target_stage::shed(const std::vector<shed_request>& gone) {
+  for (const shed_request& it : gone) {
+    end_held(it.id, refusal(it.why, verdict::not_run, shed_retry_after));
+  }
+}
+
+void target_stage::end_held(std::uint64_t ticket, const outcome& o) {
+  const auto it = m_held.find(ticket);
+  if (it == m_held.end()) {
+    return;
+  }
+  const outcome_handler handler = std::move(it->second.handler);
+  m_held.erase(it);
+  handler(o);
+}
+
+target_request target_stage::to_target(const wire::callT& request,
+                                       std::uint64_t span,
+                                       duration time_left) const {
+  const std::chrono::milliseconds left_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
+  call_context context;
+  context.team = request.team;
+  context.api_key_id = request.api_key_id;
+  context.deadline = m_clock.wall + left_ms;
+  context.rank = static_cast<priority>(request.priority);
+  context.retries = request.retries;
+  context.depth = request.depth + 1;
+  context.span = span;
+  target_request out;
+  out.method = request.method;
+  out.path = request.path;
+  out.time_left = time_left;
+  out.headers = from_wire(request.headers);
+  out.headers.push_back(
+      {std::string(header_names::context),
+       sign_context(context, m_options.fleet_secret)});
+  out.headers.push_back({std::string(header_names::timeout_ms),
+                         std::to_string(left_ms.count())});
+  out.headers.push_back(
+      {std::string(header_names::request_id), std::to_string(span)});
+  if (!request.idempotency_key.empty()) {
+    out.headers.push_back({std::string(header_names::idempotency_key),
+                           request.idempotency_key});
+  }
+  return out;
+}
+
+void target_stage::learn(const run& r, const target_result& result) {
+  if (r.cancelled) {
+    return;
+  }
+  if (result.end != target_end::answered || target_shed(result)) {
+    m_limit.on_failure(m_clock.now);
+    return;
+  }
+  m_limit.on_answer(m_clock.now - r.began, m_runs.size(), m_clock.now);
+  m_crashes.on_completed(r.digest);
+}
+
+outcome target_stage::judge(const run& r, target_result result) const {
+  switch (result.end) {
+  case target_end::not_connected:
+    return refusal(reason::target_unreachable);
+  case target_end::lost: {
+    const bool late = m_clock.now >= r.deadline;
+    return refusal(r.cancelled ? reason::cancelled
+                   : late      ? reason::deadline
+                               : reason::connection_lost,
+                   verdict::may_have_run);
+  }
+  case target_end::answered:
+    break;
+  }
+  if (target_shed(result)) {
+    if (target_said_not_run(result)) {
+      return refusal(reason::target_refused, verdict::not_run,
+                     shed_retry_after);
+    }
+    if (r.idempotent) {
+      return refusal(reason::target_refused, verdict::may_have_run,
+                     shed_retry_after);
+    }
+  }
+  outcome out;
+  out.ran = verdict::ran;
+  out.status = result.status;
+  out.headers = std::move(result.headers);
+  out.body = std::move(result.body);
+  return out;
+}
+
+void target_stage::note_loss(std::uint64_t run_id) {
+  if (m_loss && m_clock.now - m_loss->at > loss_span) {
+    m_loss.reset();
+  }
+  if (!m_loss) {
+    m_loss.emplace();
+    m_loss->at = m_clock.now;
+    m_loss->instance = m_instance;
+    for (const std::pair<const std::uint64_t, run>& it : m_runs) {
+      m_loss->in_flight.push_back(it.second.digest);
+      m_loss->runs_left.insert(it.first);
+    }
+  }
+  m_loss->runs_left.erase(run_id);
+}
+
+void target_stage::settle_loss(bool crashed) {
+  // A run of the old instance that still goes on disproves the crash; the
+  // same instance announcing itself again does so, too.
+  const bool all_lost = m_loss->runs_left.empty();
+  if (crashed && all_lost) {
+    m_crashes.on_crash(m_loss->in_flight, m_clock.now);
+    m_hooks.log(event_id::target_crashed,
+                {{"in_flight", std::to_string(m_loss->in_flight.size())}});
+  }
+  m_loss.reset();
+}
+
+std::size_t target_stage::queue_capacity() const {
+  if (m_options.plain_forwarding) {
+    return m_options.most_in_flight * queue_per_limit;
+  }
+  return std::max(least_queue, m_limit.limit() * queue_per_limit);
+}
+
+duration target_stage::expected_wait(priority rank) const {
+  const std::size_t ahead = m_queue.ahead_of(rank) + 1;
+  const duration each = std::max(m_limit.recent_latency(), duration(1));
+  const std::size_t rounds = ahead / std::max<std::size_t>(1, m_limit.limit());
+  return each * static_cast<int>(rounds + 1);
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/time.hpp
@@ -0,0 +1,27 @@
+// Time as the core sees it: two clocks that the caller reads and passes in.
+#ifndef KINGCUPSLIP_CORE_TIME_HPP
+#define KINGCUPSLIP_CORE_TIME_HPP
+
+#include <chrono>
+
+namespace kingcupslip {
+
+/// A span of time, in microseconds.
+using duration = std::chrono::microseconds;
+
+/// A reading of this process's monotonic clock, counted from any origin.
+/// Never compared between processes.
+using instant = std::chrono::microseconds;
+
+/// A reading of the wall clock: milliseconds since the Unix epoch.
+using wall_time = std::chrono::milliseconds;
+
+/// Both clocks, read together when an event enters the core.
+struct clock_reading {
+  instant now{0};
+  wall_time wall{0};
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/daemon/admin_service.hpp
@@ -0,0 +1,61 @@
+// What operators may do, as JSON; independent of how it is carried.
+#ifndef KINGCUPSLIP_DAEMON_ADMIN_SERVICE_HPP
+#define KINGCUPSLIP_DAEMON_ADMIN_SERVICE_HPP
+
+#include "kingcupslip/core/node.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace kingcupslip {
+
+/// One administration request: method, path and query of the URL, body.
+struct admin_request {
+  std::string method;
+  std::string path;
+  std::string body;
+  std::string authorization;
+  std::string operation; ///< `Operation-Id`, so that repeats are recognised
+  std::string if_match;  ///< `If-Match`: the sequence that is expected
+};
+
+struct admin_answer {
+  std::uint16_t status = 200;
+  std::string body; ///< JSON
+};
+
+using admin_handler = std::function<void(admin_answer)>;
+
+/// Runs on the loop's thread, as the node does.
+class admin_service {
+public:
+  admin_service(node& n, std::string operator_token, event_sink log);
+
+  /// `handler` runs exactly once. Refused without the operators' token.
+  void handle(const admin_request& request, admin_handler handler);
+
+private:
+  void contracts(const admin_request& r, const std::string& team,
+                 const admin_handler& handler);
+  void keys(const admin_request& r, const std::string& id,
+            const admin_handler& handler);
+  void issue_key(const admin_request& r, const admin_handler& handler);
+  void withdraw_key(const admin_request& r, const std::string& id,
+                    const admin_handler& handler);
+  void marks(const admin_request& r, const std::string& kind,
+             const std::string& name, const admin_handler& handler);
+  void status(const admin_handler& handler) const;
+  void report(const admin_handler& handler);
+  void write(const admin_request& r, const std::string& key,
+             const std::string& value, const std::string& extra,
+             const admin_handler& handler);
+
+  node& m_node;
+  std::string m_operator_token;
+  event_sink m_log;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/daemon/node_daemon.cpp
@@ -0,0 +1,248 @@
+// Puts a node together and runs its loop.
+#include "kingcupslip/daemon/node_daemon.hpp"
+
+#include "kingcupslip/daemon/event_log.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <random>
+#include <string_view>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds tick_period{5};
+constexpr duration peers_period = std::chrono::milliseconds(500);
+constexpr std::string_view own_prefix = "/-/";
+
+asio::ip::tcp::endpoint endpoint_of(const listen_address& a) {
+  return {asio::ip::make_address(a.ip), a.port};
+}
+
+std::string url_of(const listen_address& a) {
+  return "http://" + a.ip + ":" + std::to_string(a.port);
+}
+
+outcome plain_answer(std::uint16_t status, const std::string& type,
+                     const std::string& text) {
+  outcome out;
+  out.ran = verdict::ran;
+  out.status = status;
+  out.headers.push_back({"Content-Type", type});
+  out.body.assign(text.begin(), text.end());
+  return out;
+}
+
+member_table::random_source make_random() {
+  std::random_device seed;
+  const std::shared_ptr<std::mt19937_64> engine =
+      std::make_shared<std::mt19937_64>(
+          (static_cast<std::uint64_t>(seed()) << 32U) | seed());
+  return [engine] { return (*engine)(); };
+}
+
+} // namespace
+
+node_daemon::node_daemon(const node_settings& settings)
+    : m_settings(settings), m_timer(m_loop),
+      m_signals(m_loop, SIGTERM, SIGINT),
+      m_log(make_event_log(settings.log, settings.node)),
+      m_table(m_loop, settings.table_url),
+      m_target(m_loop, endpoint_of(settings.target)) {
+  const node_options options = options_for(settings);
+  m_node = std::make_unique<node>(options, hooks());
+  m_node->set_clock(read_clocks());
+  peer_hooks peers;
+  peers.on_message = [this](const std::string& from,
+                            wire::payloadUnion& body) {
+    core().on_message(from, body);
+  };
+  peers.on_unsent = [this](std::uint64_t correlation) {
+    core().on_call_unsent(correlation);
+  };
+  peers.on_lost = [this](const std::string& peer) {
+    core().on_peer_lost(peer);
+  };
+  peers.address_of = [this](const std::string& peer) {
+    return m_node->address_of(peer);
+  };
+  peers.log = m_log;
+  m_peers = std::make_unique<peer_network>(
+      m_loop, options.self, settings.fleet_secret, settings.peers.ip,
+      settings.peers.port, std::move(peers));
+  m_callers = std::make_unique<http_server>(
+      m_loop, settings.callers.ip, settings.callers.port, settings.limits,
+      [this](caller_request r, const answer_sender& send) {
+        on_caller(std::move(r), send);
+      },
+      [this](std::uint64_t connection) {
+        core().on_caller_gone(connection);
+      });
+  m_announcements = std::make_unique<http_server>(
+      m_loop, settings.announcements.ip, settings.announcements.port,
+      settings.limits,
+      [this](const caller_request& r, const answer_sender& send) {
+        on_announcement(r, send);
+      },
+      nullptr);
+  m_admin =
+      std::make_unique<admin_service>(*m_node, settings.operator_token, m_log);
+  m_admin_listener = std::make_unique<admin_listener>(
+      m_loop, *m_admin, url_of(settings.admin));
+  for (const seed_node& it : settings.seeds) {
+    m_node->add_seed(it.node, it.address);
+  }
+}
+
+node_daemon::~node_daemon() = default;
+
+void node_daemon::run() {
+  m_log(event_id::node_started,
+        {{"data_centre", m_settings.data_centre},
+         {"service", m_settings.service}});
+  wait_for_signal();
+  tick();
+  m_loop.run();
+  m_log(event_id::node_stopped, {});
+}
+
+node_options node_daemon::options_for(const node_settings& s) const {
+  node_options out;
+  out.self.node = s.node;
+  out.self.data_centre = s.data_centre;
+  out.self.service = s.service;
+  out.self.address = s.peers.ip + ":" + std::to_string(s.peers.port);
+  out.self.admin_url = url_of(s.admin);
+  out.self.incarnation =
+      static_cast<std::uint64_t>(read_clocks().wall.count());
+  out.fleet_secret = s.fleet_secret;
+  out.most_in_flight = s.most_in_flight;
+  out.drain_limit = s.drain_limit;
+  out.entry.most_body_bytes = s.limits.body_bytes;
+  out.entry.unconfirmed = s.unconfirmed;
+  out.entry.confirmed_within = s.confirmed_within;
+  return out;
+}
+
+node_hooks node_daemon::hooks() {
+  node_hooks out;
+  out.send = [this](const std::string& to, const wire::payloadUnion& body) {
+    m_peers->send(to, body);
+  };
+  out.target.run = [this](std::uint64_t run, target_request request) {
+    m_target.send(run, std::move(request), [this, run](target_result r) {
+      core().on_target_result(run, std::move(r));
+    });
+  };
+  out.target.cancel = [this](std::uint64_t run) { m_target.cancel(run); };
+  out.target.log = m_log;
+  // Table answers come through the loop: the clock is set anew before the
+  // core hears of them.
+  const table_hooks table = m_table.hooks();
+  out.table.read = [this, table](const table_query& q, read_handler handler) {
+    table.read(q, [this, handler](table_status s, std::vector<table_row> r) {
+      core();
+      handler(s, std::move(r));
+    });
+  };
+  out.table.commit = [this, table](const table_transaction& t,
+                                   commit_handler handler) {
+    table.commit(t, [this, handler](table_status s, std::uint64_t version) {
+      core();
+      handler(s, version);
+    });
+  };
+  out.random = make_random();
+  out.log = m_log;
+  return out;
+}
+
+node& node_daemon::core() {
+  m_node->set_clock(read_clocks());
+  return *m_node;
+}
+
+void node_daemon::on_caller(caller_request request,
+                            const answer_sender& send) {
+  if (answer_own_path(request, send)) {
+    return;
+  }
+  const instant began = read_clocks().now;
+  core().on_request(std::move(request), [this, began, send](outcome o) {
+    m_latencies.add(read_clocks().now - began);
+    send(std::move(o));
+  });
+}
+
+bool node_daemon::answer_own_path(const caller_request& request,
+                                  const answer_sender& send) {
+  if (request.target.substr(0, own_prefix.size()) != own_prefix) {
+    return false;
+  }
+  if (request.target == "/-/healthz") {
+    const bool healthy = m_node->sync().ready() && !m_node->draining();
+    send(plain_answer(healthy ? 200 : 503, "text/plain",
+                      healthy ? "ok\n" : "not ready\n"));
+  } else if (request.target == "/-/metrics") {
+    core();
+    send(plain_answer(200, "text/plain; version=0.0.4",
+                      render_metrics(*m_node, *m_peers, m_table,
+                                     m_latencies)));
+  } else {
+    send(refusal(reason::unknown_service));
+  }
+  return true;
+}
+
+void node_daemon::on_announcement(const caller_request& request,
+                                  const answer_sender& send) {
+  const nlohmann::json body =
+      nlohmann::json::parse(request.body, nullptr, false);
+  const bool good = request.method == "POST" &&
+                    request.target == "/announce" && body.is_object() &&
+                    body.contains("instance") &&
+                    body["instance"].is_string();
+  if (!good) {
+    send(refusal(reason::malformed));
+    return;
+  }
+  core().on_target_announce(body["instance"].get<std::string>(),
+                            body.value("draining", false));
+  send(plain_answer(204, "text/plain", ""));
+}
+
+void node_daemon::tick() {
+  core().tick();
+  if (m_node->clock().now - m_peers_ticked_at >= peers_period) {
+    m_peers_ticked_at = m_node->clock().now;
+    m_peers->tick();
+  }
+  if (m_node->drained()) {
+    m_loop.stop();
+    return;
+  }
+  m_timer.expires_after(tick_period);
+  m_timer.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) {
+      tick();
+    }
+  });
+}
+
+void node_daemon::wait_for_signal() {
+  m_signals.async_wait([this](const boost::system::error_code& ec, int) {
+    if (!ec) {
+      core().start_draining();
+      wait_for_signal();
+    }
+  });
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/daemon/node_daemon.hpp
@@ -0,0 +1,60 @@
+// A node as a process: the core with its sockets, timers and logs.
+#ifndef KINGCUPSLIP_DAEMON_NODE_DAEMON_HPP
+#define KINGCUPSLIP_DAEMON_NODE_DAEMON_HPP
+
+#include "kingcupslip/core/node.hpp"
+#include "kingcupslip/daemon/admin_listener.hpp"
+#include "kingcupslip/daemon/metrics.hpp"
+#include "kingcupslip/daemon/settings.hpp"
+#include "kingcupslip/net/http_client.hpp"
+#include "kingcupslip/net/http_server.hpp"
+#include "kingcupslip/net/peer_network.hpp"
+#include "kingcupslip/net/table_client.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+namespace kingcupslip {
+
+class node_daemon {
+public:
+  explicit node_daemon(const node_settings& settings);
+  ~node_daemon();
+
+  /// Runs until SIGTERM or SIGINT has been handled gracefully.
+  void run();
+
+private:
+  node_options options_for(const node_settings& s) const;
+  node_hooks hooks();
+  void on_caller(caller_request request, const answer_sender& send);
+  void on_announcement(const caller_request& request,
+                       const answer_sender& send);
+  bool answer_own_path(const caller_request& request,
+                       const answer_sender& send);
+  void tick();
+  void wait_for_signal();
+  node& core();
+
+  node_settings m_settings;
+  io_loop m_loop;
+  boost::asio::steady_timer m_timer;
+  boost::asio::signal_set m_signals;
+  event_sink m_log;
+  table_client m_table;
+  http_client m_target;
+  latency_histogram m_latencies;
+  std::unique_ptr<peer_network> m_peers;
+  std::unique_ptr<node> m_node;
+  std::unique_ptr<http_server> m_callers;
+  std::unique_ptr<http_server> m_announcements;
+  std::unique_ptr<admin_service> m_admin;
+  std::unique_ptr<admin_listener> m_admin_listener;
+  instant m_peers_ticked_at{0};
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/daemon/settings.hpp
@@ -0,0 +1,70 @@
+// A node's settings: YAML, checked whole before anything starts.
+#ifndef KINGCUPSLIP_DAEMON_SETTINGS_HPP
+#define KINGCUPSLIP_DAEMON_SETTINGS_HPP
+
+#include "kingcupslip/core/entry_stage.hpp"
+#include "kingcupslip/core/node_identity.hpp"
+#include "kingcupslip/net/http_server.hpp"
+
+#include <boost/outcome.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace kingcupslip {
+
+/// One fault in a settings file.
+struct settings_fault {
+  int line = 0;         ///< from 1; 0 where the whole file is at fault
+  std::string key;      ///< as in `callers.listen`
+  std::string expected; ///< what would have been right
+};
+
+struct listen_address {
+  std::string ip = "127.0.0.1";
+  std::uint16_t port = 0;
+};
+
+struct seed_node {
+  std::string node;
+  std::string address;
+};
+
+enum class log_format : std::uint8_t { json, text };
+
+struct node_settings {
+  std::string node;
+  std::string data_centre;
+  std::string service;
+  listen_address target;
+  listen_address callers;
+  listen_address peers;
+  listen_address announcements;
+  listen_address admin;
+  std::string table_url;
+  std::string fleet_secret;
+  std::string operator_token;
+  std::vector<seed_node> seeds;
+  log_format log = log_format::json;
+  unconfirmed_keys unconfirmed = unconfirmed_keys::serve;
+  std::chrono::milliseconds confirmed_within{60'000};
+  std::chrono::milliseconds drain_limit{20'000};
+  std::size_t most_in_flight = 1000;
+  std::uint32_t pool_threads = 2;
+  server_limits limits;
+};
+
+using settings_faults = std::vector<settings_fault>;
+
+/// Reads settings from YAML text. Every fault is reported, unknown keys
+/// included.
+boost::outcome_v2::result<node_settings, settings_faults,
+                          boost::outcome_v2::policy::terminate>
+parse_settings(const std::string& yaml_text);
+
+/// "FILE:LINE: KEY: expected EXPECTED", one line per fault.
+std::string to_text(const settings_faults& faults, const std::string& file);
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/net/http_client.cpp
@@ -0,0 +1,221 @@
+// Exchanges of the HTTP client, on Boost.Beast.
+#include "kingcupslip/net/http_client.hpp"
+
+#include "kingcupslip/net/socket_options.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using byte_body = http::vector_body<std::uint8_t>;
+
+constexpr std::size_t most_idle = 256;
+/// Peers close idle connections; one kept shorter is surely still open but
+/// for a crash, which closes it visibly.
+constexpr duration idle_life = std::chrono::seconds(4);
+constexpr std::uint32_t most_head_bytes = 64 * 1024;
+
+bool still_open(tcp::socket& socket) {
+  error_code ec;
+  char one = 0;
+  socket.non_blocking(true, ec);
+  socket.receive(asio::buffer(&one, 1), tcp::socket::message_peek, ec);
+  return ec == asio::error::would_block;
+}
+
+} // namespace
+
+/// One request and its answer. Keeps itself alive through its handlers.
+class http_exchange : public std::enable_shared_from_this<http_exchange> {
+public:
+  http_exchange(http_client& client, std::uint64_t id, target_request request,
+                http_client::handler on_end)
+      : m_client(client), m_id(id), m_time_left(request.time_left),
+        m_on_end(std::move(on_end)), m_timer(client.m_loop) {
+    m_message.method_string(request.method);
+    m_message.target(request.path);
+    m_message.version(11);
+    m_message.set(http::field::host,
+                  client.m_endpoint.address().to_string());
+    for (const header& it : request.headers) {
+      m_message.insert(it.name, it.value);
+    }
+    m_message.body() = std::move(request.body);
+    m_message.prepare_payload();
+  }
+
+  void start() {
+    m_timer.expires_after(m_time_left);
+    const std::shared_ptr<http_exchange> self = shared_from_this();
+    m_timer.async_wait([self](const error_code& ec) {
+      if (!ec) {
+        self->cancel();
+      }
+    });
+    m_socket = m_client.take_idle();
+    if (m_socket) {
+      write();
+      return;
+    }
+    m_socket = std::make_shared<tcp::socket>(m_client.m_loop);
+    m_socket->async_connect(m_client.m_endpoint,
+                            [self](const error_code& ec) {
+                              if (ec) {
+                                self->end({target_end::not_connected, 0, {},
+                                           {}});
+                                return;
+                              }
+                              set_socket_options(*self->m_socket);
+                              self->write();
+                            });
+  }
+
+  void cancel() {
+    end({m_written ? target_end::lost : target_end::not_connected, 0, {}, {}});
+  }
+
+  void detach() {
+    m_on_end = nullptr;
+    cancel();
+  }
+
+private:
+  void write() {
+    if (!m_on_end) {
+      return;
+    }
+    m_written = true;
+    const std::shared_ptr<http_exchange> self = shared_from_this();
+    http::async_write(*m_socket, m_message,
+                      [self](const error_code& ec, std::size_t) {
+                        if (ec) {
+                          self->end({target_end::lost, 0, {}, {}});
+                          return;
+                        }
+                        self->read();
+                      });
+  }
+
+  void read() {
+    m_parser.emplace();
+    m_parser->header_limit(most_head_bytes);
+    m_parser->body_limit(m_client.m_most_answer_bytes);
+    m_parser->skip(m_message.method() == http::verb::head);
+    const std::shared_ptr<http_exchange> self = shared_from_this();
+    http::async_read(*m_socket, m_buffer, *m_parser,
+                     [self](const error_code& ec, std::size_t) {
+                       self->on_read(ec);
+                     });
+  }
+
+  void on_read(const error_code& ec) {
+    if (ec || !m_on_end) {
+      end({target_end::lost, 0, {}, {}});
+      return;
+    }
+    http::response<byte_body> answer = m_parser->release();
+    target_result out;
+    out.end = target_end::answered;
+    out.status = static_cast<std::uint16_t>(answer.result_int());
+    for (const http::fields::value_type& it : answer) {
+      out.headers.push_back(
+          {std::string(it.name_string()), std::string(it.value())});
+    }
+    const bool keep = answer.keep_alive() && m_buffer.size() == 0;
+    out.body = std::move(answer.body());
+    if (keep) {
+      m_client.keep(std::move(m_socket));
+    }
+    end(std::move(out));
+  }
+
+  void end(target_result result) {
+    if (m_socket) {
+      error_code ignored;
+      m_socket->close(ignored);
+    }
+    m_timer.cancel();
+    if (!m_on_end) {
+      return;
+    }
+    m_client.m_exchanges.erase(m_id);
+    const http_client::handler on_end = std::exchange(m_on_end, nullptr);
+    on_end(std::move(result));
+  }
+
+  http_client& m_client;
+  std::uint64_t m_id;
+  duration m_time_left;
+  http_client::handler m_on_end;
+  asio::steady_timer m_timer;
+  std::shared_ptr<tcp::socket> m_socket;
+  http::request<byte_body> m_message;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<http::response_parser<byte_body>> m_parser;
+  bool m_written = false;
+};
+
+http_client::http_client(io_loop& loop, tcp::endpoint endpoint,
+                         std::size_t most_answer_bytes)
+    : m_loop(loop), m_endpoint(std::move(endpoint)),
+      m_most_answer_bytes(most_answer_bytes) {}
+
+http_client::~http_client() {
+  const std::map<std::uint64_t, std::weak_ptr<http_exchange>> open =
+      std::move(m_exchanges);
+  for (const std::pair<const std::uint64_t, std::weak_ptr<http_exchange>>& it :
+       open) {
+    if (const std::shared_ptr<http_exchange> e = it.second.lock()) {
+      e->detach();
+    }
+  }
+}
+
+void http_client::send(std::uint64_t id, target_request request,
+                       handler on_end) {
+  const std::shared_ptr<http_exchange> e = std::make_shared<http_exchange>(
+      *this, id, std::move(request), std::move(on_end));
+  m_exchanges[id] = e;
+  e->start();
+}
+
+void http_client::cancel(std::uint64_t id) {
+  const auto it = m_exchanges.find(id);
+  if (it == m_exchanges.end()) {
+    return;
+  }
+  if (const std::shared_ptr<http_exchange> e = it->second.lock()) {
+    e->cancel();
+  }
+}
+
+std::shared_ptr<tcp::socket> http_client::take_idle() {
+  const instant now = read_clocks().now;
+  while (!m_idle.empty()) {
+    const idle_connection c = m_idle.front();
+    m_idle.pop_front();
+    if (now - c.since < idle_life && still_open(*c.socket)) {
+      return c.socket;
+    }
+  }
+  return nullptr;
+}
+
+void http_client::keep(std::shared_ptr<tcp::socket> socket) {
+  m_idle.push_front({std::move(socket), read_clocks().now});
+  if (m_idle.size() > most_idle) {
+    m_idle.pop_back();
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/net/http_server.cpp
@@ -0,0 +1,257 @@
+// Sessions of the HTTP server, on Boost.Beast.
+#include "kingcupslip/net/http_server.hpp"
+
+#include "kingcupslip/net/problem.hpp"
+#include "kingcupslip/net/socket_options.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using byte_body = http::vector_body<std::uint8_t>;
+
+std::optional<reason> reason_for(const error_code& ec) {
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    return reason::head_too_large;
+  }
+  if (ec == http::error::body_limit) {
+    return reason::body_too_large;
+  }
+  if (ec == http::error::end_of_stream || ec == asio::error::eof ||
+      ec == asio::error::connection_reset || ec == http::error::partial_message) {
+    return std::nullopt;
+  }
+  const bool parse_error =
+      ec.category() == http::make_error_code(http::error::bad_method).category();
+  return parse_error ? std::optional<reason>(reason::malformed) : std::nullopt;
+}
+
+} // namespace
+
+/// One caller's connection. Keeps itself alive through its handlers.
+class http_session : public std::enable_shared_from_this<http_session> {
+public:
+  http_session(tcp::socket socket, const server_limits& limits,
+               request_hook on_request, gone_hook on_gone,
+               std::shared_ptr<std::size_t> open,
+               std::shared_ptr<bool> closing, std::uint64_t id)
+      : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
+        m_limits(limits), m_on_request(std::move(on_request)),
+        m_on_gone(std::move(on_gone)), m_open(std::move(open)),
+        m_closing(std::move(closing)), m_id(id) {
+    ++*m_open;
+    set_socket_options(m_socket);
+  }
+
+  http_session(const http_session&) = delete;
+  http_session& operator=(const http_session&) = delete;
+  ~http_session() { --*m_open; }
+
+  void start() {
+    if (*m_open > m_limits.connections) {
+      refuse(reason::too_many_connections);
+      return;
+    }
+    wait_for_request();
+  }
+
+private:
+  void wait_for_request() {
+    if (m_buffer.size() > 0) {
+      read_request();
+      return;
+    }
+    arm(m_limits.idle_time, [](http_session& s) { s.close(); });
+    const std::shared_ptr<http_session> self = shared_from_this();
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self](const error_code& ec) {
+                          if (!ec) {
+                            self->read_request();
+                          }
+                        });
+  }
+
+  void read_request() {
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_limits.head_bytes));
+    m_parser->body_limit(m_limits.body_bytes);
+    arm(m_limits.request_time, [](http_session& s) {
+      error_code ignored;
+      s.m_too_slow = true;
+      s.m_socket.cancel(ignored);
+    });
+    const std::shared_ptr<http_session> self = shared_from_this();
+    http::async_read(m_socket, m_buffer, *m_parser,
+                     [self](const error_code& ec, std::size_t) {
+                       self->m_timer.cancel();
+                       self->on_read(ec);
+                     });
+  }
+
+  void on_read(const error_code& ec) {
+    if (m_too_slow) {
+      refuse(reason::too_slow);
+      return;
+    }
+    if (ec) {
+      const std::optional<reason> why = reason_for(ec);
+      why ? refuse(*why) : close();
+      return;
+    }
+    http::request<byte_body> message = m_parser->release();
+    m_keep_alive = message.keep_alive();
+    m_head_only = message.method() == http::verb::head;
+    caller_request r;
+    r.method = std::string(message.method_string());
+    r.target = std::string(message.target());
+    r.connection = m_id;
+    for (const http::fields::value_type& it : message) {
+      r.headers.push_back(
+          {std::string(it.name_string()), std::string(it.value())});
+    }
+    r.body = std::move(message.body());
+    m_answering = true;
+    watch_for_close();
+    const std::shared_ptr<http_session> self = shared_from_this();
+    m_on_request(std::move(r), [self](outcome o) {
+      self->m_answering = false;
+      self->answer(std::move(o));
+    });
+  }
+
+  /// Without a read under way nothing else would notice that the caller
+  /// went away while its request runs.
+  void watch_for_close() {
+    const std::weak_ptr<http_session> weak = shared_from_this();
+    m_socket.async_wait(tcp::socket::wait_read, [weak](const error_code& ec) {
+      const std::shared_ptr<http_session> self = weak.lock();
+      if (!self || ec || !self->m_answering) {
+        return;
+      }
+      error_code ignored;
+      char one = 0;
+      self->m_socket.non_blocking(true, ignored);
+      error_code peeked;
+      self->m_socket.receive(asio::buffer(&one, 1),
+                             tcp::socket::message_peek, peeked);
+      const bool gone = peeked && peeked != asio::error::would_block;
+      if (gone && self->m_on_gone) {
+        self->m_on_gone(self->m_id);
+      }
+    });
+  }
+
+  void refuse(reason why) {
+    m_keep_alive = false;
+    answer(refusal(why));
+  }
+
+  void answer(outcome o) {
+    outcome out = to_http(std::move(o));
+    m_response = {};
+    m_response.version(11);
+    m_response.result(out.status);
+    for (const header& it : out.headers) {
+      m_response.insert(it.name, it.value);
+    }
+    const bool keep = m_keep_alive && !*m_closing;
+    m_response.keep_alive(keep);
+    m_response.body() = std::move(out.body);
+    m_response.prepare_payload();
+    if (m_head_only) {
+      m_response.body().clear();
+    }
+    const std::shared_ptr<http_session> self = shared_from_this();
+    http::async_write(m_socket, m_response,
+                      [self, keep](const error_code& ec, std::size_t) {
+                        if (ec || !keep) {
+                          self->close();
+                          return;
+                        }
+                        self->wait_for_request();
+                      });
+  }
+
+  template <class Action>
+  void arm(std::chrono::milliseconds after, Action action) {
+    m_timer.expires_after(after);
+    const std::weak_ptr<http_session> weak = shared_from_this();
+    m_timer.async_wait([weak, action](const error_code& ec) {
+      const std::shared_ptr<http_session> self = weak.lock();
+      if (!ec && self) {
+        action(*self);
+      }
+    });
+  }
+
+  void close() {
+    error_code ignored;
+    m_timer.cancel();
+    m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+  }
+
+  tcp::socket m_socket;
+  asio::steady_timer m_timer;
+  const server_limits m_limits;
+  request_hook m_on_request;
+  gone_hook m_on_gone;
+  std::shared_ptr<std::size_t> m_open;
+  std::shared_ptr<bool> m_closing;
+  std::uint64_t m_id;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<byte_body>> m_parser;
+  http::response<byte_body> m_response;
+  bool m_keep_alive = true;
+  bool m_head_only = false;
+  bool m_answering = false;
+  bool m_too_slow = false;
+};
+
+http_server::http_server(io_loop& loop, const std::string& address,
+                         std::uint16_t port, server_limits limits,
+                         request_hook on_request, gone_hook on_gone)
+    : m_loop(loop),
+      m_acceptor(loop, tcp::endpoint(asio::ip::make_address(address), port)),
+      m_limits(limits), m_on_request(std::move(on_request)),
+      m_on_gone(std::move(on_gone)),
+      m_open(std::make_shared<std::size_t>(0)),
+      m_closing(std::make_shared<bool>(false)) {
+  accept();
+}
+
+http_server::~http_server() { stop_accepting(); }
+
+void http_server::stop_accepting() {
+  *m_closing = true;
+  error_code ignored;
+  m_acceptor.close(ignored);
+}
+
+void http_server::accept() {
+  m_acceptor.async_accept([this](const error_code& ec, tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) {
+      return;
+    }
+    if (!ec) {
+      std::make_shared<http_session>(std::move(socket), m_limits,
+                                     m_on_request, m_on_gone, m_open,
+                                     m_closing, ++m_next)
+          ->start();
+    }
+    accept();
+  });
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/net/http_server.hpp
@@ -0,0 +1,67 @@
+// An HTTP/1.1 server with bounded heads, bodies, connections and times.
+#ifndef KINGCUPSLIP_NET_HTTP_SERVER_HPP
+#define KINGCUPSLIP_NET_HTTP_SERVER_HPP
+
+#include "kingcupslip/core/entry_stage.hpp"
+#include "kingcupslip/core/outcome.hpp"
+#include "kingcupslip/net/loop.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kingcupslip {
+
+struct server_limits {
+  std::size_t head_bytes = 16UL * 1024;
+  std::size_t body_bytes = 1024UL * 1024;
+  std::size_t connections = 4096;
+  /// For a whole request to arrive once its first byte has.
+  std::chrono::milliseconds request_time{10'000};
+  std::chrono::milliseconds idle_time{60'000};
+};
+
+/// Answers one request; must be called exactly once, on the loop's thread.
+using answer_sender = std::function<void(outcome)>;
+using request_hook = std::function<void(caller_request, answer_sender)>;
+/// The connection closed while its request was being answered.
+using gone_hook = std::function<void(std::uint64_t connection)>;
+
+class http_session;
+
+/// Runs on the loop. Faulty requests are answered with a problem document;
+/// the connection then closes.
+class http_server {
+public:
+  /// Throws `boost::system::system_error` where the address cannot be used.
+  http_server(io_loop& loop, const std::string& address,
+              std::uint16_t port, server_limits limits, request_hook on_request,
+              gone_hook on_gone);
+  ~http_server();
+
+  std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+  std::size_t connections() const { return *m_open; }
+
+  /// Stops listening; open connections close after their next answer.
+  void stop_accepting();
+
+private:
+  friend class http_session;
+  void accept();
+
+  io_loop& m_loop;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  server_limits m_limits;
+  request_hook m_on_request;
+  gone_hook m_on_gone;
+  std::shared_ptr<std::size_t> m_open;
+  std::shared_ptr<bool> m_closing;
+  std::uint64_t m_next = 0;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/net/loop.hpp
@@ -0,0 +1,28 @@
+// The one thread that runs the core, its sockets and its timers.
+#ifndef KINGCUPSLIP_NET_LOOP_HPP
+#define KINGCUPSLIP_NET_LOOP_HPP
+
+#include "kingcupslip/core/time.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+
+namespace kingcupslip {
+
+using io_loop = boost::asio::io_context;
+
+/// Reads both clocks. The monotonic one starts well above zero, so that
+/// zero may mean "never" in the core.
+inline clock_reading read_clocks() {
+  clock_reading out;
+  out.now = std::chrono::duration_cast<instant>(
+                std::chrono::steady_clock::now().time_since_epoch()) +
+            std::chrono::hours(2);
+  out.wall = std::chrono::duration_cast<wall_time>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return out;
+}
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/net/peer_network.cpp
@@ -0,0 +1,140 @@
+// Dialling, accepting and choice of connections between nodes.
+#include "kingcupslip/net/peer_network.hpp"
+
+#include "kingcupslip/net/peer_session.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+constexpr std::size_t most_sessions = 4096;
+
+std::optional<tcp::endpoint> parse_endpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  error_code ec;
+  const asio::ip::address ip =
+      asio::ip::make_address(text.substr(0, colon), ec);
+  std::uint16_t port = 0;
+  std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  if (ec || port == 0) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(ip, port);
+}
+
+std::uint64_t correlation_of(const wire::payloadUnion& body) {
+  const bool is_call = body.type == wire::payload::call;
+  return is_call ? body.Ascall()->correlation : 0;
+}
+
+bool expects_answer(const wire::payloadUnion& body) {
+  return body.type == wire::payload::call ||
+         (body.type == wire::payload::gossip &&
+          body.Asgossip()->answer_wanted);
+}
+
+} // namespace
+
+peer_network::peer_network(io_loop& loop, node_identity self,
+                           std::string secret, const std::string& address,
+                           std::uint16_t port, peer_hooks hooks)
+    : m_loop(loop), m_self(std::move(self)), m_secret(std::move(secret)),
+      m_acceptor(loop, tcp::endpoint(asio::ip::make_address(address), port)),
+      m_hooks(std::move(hooks)) {
+  accept();
+}
+
+peer_network::~peer_network() {
+  error_code ignored;
+  m_acceptor.close(ignored);
+  const std::map<peer_session*, std::shared_ptr<peer_session>> all =
+      std::move(m_all);
+  for (const std::pair<peer_session* const, std::shared_ptr<peer_session>>&
+           it : all) {
+    it.second->close(false);
+  }
+}
+
+void peer_network::send(const std::string& node,
+                        const wire::payloadUnion& body) {
+  const std::uint64_t correlation = correlation_of(body);
+  std::shared_ptr<peer_session> s;
+  const auto it = m_by_node.find(node);
+  s = it == m_by_node.end() ? dial(node) : it->second;
+  if (!s) {
+    if (correlation != 0) {
+      // Not from within the caller's own call: it may still be setting up.
+      const std::function<void(std::uint64_t)> unsent = m_hooks.on_unsent;
+      asio::post(m_loop, [unsent, correlation] { unsent(correlation); });
+    }
+    return;
+  }
+  s->send(encode_frame(body), correlation, expects_answer(body));
+}
+
+void peer_network::tick() {
+  const instant now = read_clocks().now;
+  const std::map<peer_session*, std::shared_ptr<peer_session>> all = m_all;
+  for (const std::pair<peer_session* const, std::shared_ptr<peer_session>>&
+           it : all) {
+    it.second->check_silence(now);
+  }
+}
+
+void peer_network::accept() {
+  m_acceptor.async_accept([this](const error_code& ec, tcp::socket socket) {
+    if (ec == asio::error::operation_aborted) {
+      return;
+    }
+    if (!ec && m_all.size() < most_sessions) {
+      const std::shared_ptr<peer_session> s =
+          std::make_shared<peer_session>(*this, std::move(socket), "");
+      m_all[s.get()] = s;
+      s->start();
+    }
+    accept();
+  });
+}
+
+std::shared_ptr<peer_session> peer_network::dial(const std::string& node) {
+  const std::optional<tcp::endpoint> to =
+      parse_endpoint(m_hooks.address_of(node));
+  if (!to) {
+    return nullptr;
+  }
+  const std::shared_ptr<peer_session> s =
+      std::make_shared<peer_session>(*this, tcp::socket(m_loop), node);
+  m_all[s.get()] = s;
+  m_by_node[node] = s;
+  s->connect(*to);
+  return s;
+}
+
+void peer_network::on_established(const std::shared_ptr<peer_session>& s) {
+  std::shared_ptr<peer_session>& chosen = m_by_node[s->peer()];
+  if (!chosen) {
+    chosen = s;
+  }
+}
+
+void peer_network::on_closed(peer_session& s) {
+  m_all.erase(&s);
+  const auto it = m_by_node.find(s.peer());
+  if (it != m_by_node.end() && it->second.get() == &s) {
+    m_by_node.erase(it);
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/net/peer_session.cpp
@@ -0,0 +1,303 @@
+// Greeting, framing and silence of one connection between nodes.
+#include "kingcupslip/net/peer_session.hpp"
+
+#include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/net/socket_options.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+constexpr std::chrono::milliseconds greeting_time{1000};
+constexpr duration ping_after = std::chrono::seconds(1);
+constexpr duration silent_after = std::chrono::seconds(3);
+constexpr duration idle_after = std::chrono::minutes(5);
+constexpr std::size_t most_greeting_bytes = 4096;
+constexpr std::size_t most_queued = 20'000;
+
+} // namespace
+
+peer_session::peer_session(peer_network& network, tcp::socket socket,
+                           std::string dialled_node)
+    : m_network(&network), m_socket(std::move(socket)),
+      m_timer(m_socket.get_executor()), m_dialled(!dialled_node.empty()),
+      m_peer(std::move(dialled_node)) {
+  const std::uint64_t n = ++network.m_next_nonce;
+  const clock_reading t = read_clocks();
+  m_nonce = hmac_hex(network.m_secret,
+                     network.m_self.node + "/" + std::to_string(n) + "/" +
+                         std::to_string(t.now.count()) + "/" +
+                         std::to_string(t.wall.count()));
+  m_received_at = t.now;
+}
+
+void peer_session::connect(const tcp::endpoint& to) {
+  const std::shared_ptr<peer_session> self = shared_from_this();
+  m_timer.expires_after(greeting_time);
+  m_timer.async_wait([self](const error_code& ec) {
+    if (!ec && !self->m_established) {
+      self->close(true);
+    }
+  });
+  m_socket.async_connect(to, [self](const error_code& ec) {
+    if (ec) {
+      self->close(true);
+      return;
+    }
+    self->start();
+  });
+}
+
+void peer_session::start() {
+  set_socket_options(m_socket);
+  const std::shared_ptr<peer_session> self = shared_from_this();
+  if (!m_dialled) {
+    m_timer.expires_after(greeting_time);
+    m_timer.async_wait([self](const error_code& ec) {
+      if (!ec && !self->m_established) {
+        self->fail(event_id::peer_refused, "no greeting in time");
+      }
+    });
+  }
+  send_hello();
+  read_head();
+}
+
+void peer_session::send(frame_bytes frame, std::uint64_t call_correlation,
+                        bool expects_answer) {
+  if (m_closed || m_queue.size() >= most_queued) {
+    if (call_correlation != 0) {
+      m_network->m_hooks.on_unsent(call_correlation);
+    }
+    return;
+  }
+  m_queue.push_back({std::move(frame), call_correlation, expects_answer});
+  write_next();
+}
+
+void peer_session::check_silence(instant now) {
+  if (!m_established || m_closed) {
+    return;
+  }
+  const duration quiet = now - m_received_at;
+  if (m_answer_due && quiet > silent_after && now - m_sent_at < quiet) {
+    ++m_network->m_counters.silent_peers;
+    fail(event_id::peer_silent, "nothing came back");
+    return;
+  }
+  if (m_answer_due && quiet > ping_after) {
+    wire::payloadUnion ping;
+    ping.Set(wire::pingT{});
+    send(encode_frame(ping), 0, false);
+  }
+  if (!m_answer_due && quiet > idle_after && now - m_sent_at > idle_after) {
+    close(true);
+  }
+}
+
+void peer_session::close(bool tell) {
+  if (m_closed) {
+    return;
+  }
+  m_closed = true;
+  m_timer.cancel();
+  error_code ignored;
+  m_socket.close(ignored);
+  const std::deque<outgoing> unsent = std::move(m_queue);
+  m_queue.clear();
+  if (!tell) {
+    return;
+  }
+  m_network->on_closed(*this);
+  for (const outgoing& it : unsent) {
+    if (it.call_correlation != 0) {
+      m_network->m_hooks.on_unsent(it.call_correlation);
+    }
+  }
+  if (m_established) {
+    m_network->m_hooks.on_lost(m_peer);
+  }
+}
+
+void peer_session::send_hello() {
+  wire::helloT hello;
+  hello.node = m_network->m_self.node;
+  hello.data_centre = m_network->m_self.data_centre;
+  hello.incarnation = m_network->m_self.incarnation;
+  hello.nonce = m_nonce;
+  wire::payloadUnion body;
+  body.Set(std::move(hello));
+  write_greeting(encode_frame(body));
+}
+
+void peer_session::read_head() {
+  const std::shared_ptr<peer_session> self = shared_from_this();
+  asio::async_read(m_socket, asio::buffer(m_head),
+                   [self](const error_code& ec, std::size_t) {
+                     if (ec) {
+                       self->close(true);
+                       return;
+                     }
+                     const std::optional<std::size_t> n =
+                         frame_length(self->m_head.data());
+                     const bool fits =
+                         n && (self->m_established ||
+                               *n <= most_greeting_bytes);
+                     if (!fits) {
+                       self->fail(event_id::frame_dropped, "length");
+                       return;
+                     }
+                     self->read_body(*n);
+                   });
+}
+
+void peer_session::read_body(std::size_t n) {
+  m_body.resize(n);
+  const std::shared_ptr<peer_session> self = shared_from_this();
+  asio::async_read(
+      m_socket, asio::buffer(m_body),
+      [self](const error_code& ec, std::size_t) {
+        if (ec) {
+          self->close(true);
+          return;
+        }
+        self->m_network->m_counters.bytes_received +=
+            frame_head_bytes + self->m_body.size();
+        std::optional<wire::payloadUnion> body = decode_frame(self->m_body);
+        if (!body) {
+          self->fail(event_id::frame_dropped, "not a message");
+          return;
+        }
+        self->m_received_at = read_clocks().now;
+        self->m_answer_due = false;
+        self->on_frame(*body);
+        if (!self->m_closed) {
+          self->read_head();
+        }
+      });
+}
+
+void peer_session::on_frame(wire::payloadUnion& body) {
+  if (body.type == wire::payload::hello) {
+    on_hello(*body.Ashello());
+    return;
+  }
+  if (body.type == wire::payload::hello_proof) {
+    on_proof(*body.Ashello_proof());
+    return;
+  }
+  if (!m_established) {
+    fail(event_id::peer_refused, "no proof of the fleet's secret");
+    return;
+  }
+  const bool link_ping = body.type == wire::payload::ping &&
+                         body.Asping()->lease.empty();
+  if (link_ping) {
+    wire::payloadUnion pong;
+    pong.Set(wire::pongT{});
+    send(encode_frame(pong), 0, false);
+    return;
+  }
+  m_network->m_hooks.on_message(m_peer, body);
+}
+
+void peer_session::on_hello(const wire::helloT& m) {
+  const bool expected = !m_dialled || m.node == m_peer;
+  if (!m_peer_nonce.empty() || !expected || m.node.empty() ||
+      m.node == m_network->m_self.node) {
+    fail(event_id::peer_refused, "unexpected greeting");
+    return;
+  }
+  m_peer = m.node;
+  m_peer_nonce = m.nonce;
+  wire::hello_proofT proof;
+  proof.proof = proof_of(m_network->m_self.node, m_dialled);
+  wire::payloadUnion body;
+  body.Set(std::move(proof));
+  write_greeting(encode_frame(body));
+}
+
+void peer_session::on_proof(const wire::hello_proofT& m) {
+  const bool right =
+      !m_peer_nonce.empty() &&
+      equal_in_constant_time(m.proof, proof_of(m_peer, !m_dialled));
+  if (!right) {
+    fail(event_id::peer_refused, "wrong proof");
+    return;
+  }
+  m_established = true;
+  m_timer.cancel();
+  m_network->on_established(shared_from_this());
+  write_next();
+}
+
+std::string peer_session::proof_of(const std::string& node,
+                                   bool dialler) const {
+  // Both nonces and the role are in it, so that no proof can be replayed or
+  // reflected.
+  const std::string& dialler_nonce = m_dialled ? m_nonce : m_peer_nonce;
+  const std::string& other_nonce = m_dialled ? m_peer_nonce : m_nonce;
+  return hmac_hex(m_network->m_secret,
+                  "peer/" + node + (dialler ? "/dial/" : "/accept/") +
+                      dialler_nonce + "/" + other_nonce);
+}
+
+void peer_session::write_greeting(frame_bytes frame) {
+  m_greetings.push_back(std::move(frame));
+  write_next();
+}
+
+void peer_session::write_next() {
+  if (m_writing || m_closed) {
+    return;
+  }
+  const bool greeting = !m_greetings.empty();
+  if (greeting) {
+    m_now_writing = {std::move(m_greetings.front()), 0, false};
+    m_greetings.pop_front();
+  } else if (m_established && !m_queue.empty()) {
+    m_now_writing = std::move(m_queue.front());
+    m_queue.pop_front();
+    m_answer_due = m_answer_due || m_now_writing.expects_answer;
+  } else {
+    return;
+  }
+  m_writing = true;
+  m_sent_at = read_clocks().now;
+  m_network->m_counters.bytes_sent += m_now_writing.bytes.size();
+  const std::shared_ptr<peer_session> self = shared_from_this();
+  asio::async_write(m_socket, asio::buffer(m_now_writing.bytes),
+                    [self](const error_code& ec, std::size_t) {
+                      self->m_writing = false;
+                      if (ec) {
+                        self->close(true);
+                        return;
+                      }
+                      self->write_next();
+                    });
+}
+
+void peer_session::fail(event_id id, const std::string& why) {
+  if (m_closed) {
+    return;
+  }
+  peer_counters& counters = m_network->m_counters;
+  if (id == event_id::frame_dropped) {
+    ++counters.bad_frames;
+  } else if (id == event_id::peer_refused) {
+    ++counters.refused_peers;
+  }
+  m_network->m_hooks.log(id, {{"peer", m_peer}, {"why", why}});
+  close(true);
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/net/peer_session.hpp
@@ -0,0 +1,75 @@
+// One connection between two nodes, from greeting to close.
+#ifndef KINGCUPSLIP_NET_PEER_SESSION_HPP
+#define KINGCUPSLIP_NET_PEER_SESSION_HPP
+
+#include "kingcupslip/net/peer_network.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <array>
+#include <deque>
+
+namespace kingcupslip {
+
+/// Keeps itself alive through its handlers.
+///
+/// Invariant: no frame but a greeting is acted on, or written, before the
+/// peer has proved that it knows the fleet's secret.
+class peer_session : public std::enable_shared_from_this<peer_session> {
+public:
+  peer_session(peer_network& network, boost::asio::ip::tcp::socket socket,
+               std::string dialled_node);
+
+  /// Connects first where it was dialled.
+  void connect(const boost::asio::ip::tcp::endpoint& to);
+  void start();
+
+  /// `call_correlation` is 0 but for calls.
+  void send(frame_bytes frame, std::uint64_t call_correlation,
+            bool expects_answer);
+  void check_silence(instant now);
+  void close(bool tell);
+
+  const std::string& peer() const { return m_peer; }
+  bool established() const { return m_established; }
+
+private:
+  struct outgoing {
+    frame_bytes bytes;
+    std::uint64_t call_correlation = 0;
+    bool expects_answer = false;
+  };
+
+  void send_hello();
+  void read_head();
+  void read_body(std::size_t n);
+  void on_frame(wire::payloadUnion& body);
+  void on_hello(const wire::helloT& m);
+  void on_proof(const wire::hello_proofT& m);
+  std::string proof_of(const std::string& node, bool dialler) const;
+  void write_greeting(frame_bytes frame);
+  void write_next();
+  void fail(event_id id, const std::string& why);
+
+  peer_network* m_network;
+  boost::asio::ip::tcp::socket m_socket;
+  boost::asio::steady_timer m_timer;
+  bool m_dialled;
+  std::string m_peer;
+  std::string m_nonce;
+  std::string m_peer_nonce;
+  bool m_established = false;
+  bool m_closed = false;
+  bool m_writing = false;
+  std::deque<outgoing> m_queue;
+  outgoing m_now_writing;
+  std::deque<frame_bytes> m_greetings;
+  std::array<std::uint8_t, frame_head_bytes> m_head{};
+  frame_bytes m_body;
+  instant m_received_at{0};
+  instant m_sent_at{0};
+  bool m_answer_due = false;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/programs/kingcupslip.cpp
@@ -0,0 +1,206 @@
+// The operators' program: contracts, keys, marks, status and the report.
+#include "kingcupslip/cli/admin_client.hpp"
+#include "kingcupslip/cli/report_view.hpp"
+#include "kingcupslip/cli/yaml_to_json.hpp"
+#include "kingcupslip/version.hpp"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <optional>
+#include <random>
+#include <sstream>
+#include <string>
+
+namespace {
+
+using namespace kingcupslip;
+
+/// Exit codes, as the operators' page lists them.
+enum class exit_code : int {
+  done = 0,
+  refused = 1,
+  bad_input = 2,
+  conflict = 3,
+  unavailable = 4
+};
+
+using view = std::function<std::string(const std::string&)>;
+
+struct program {
+  std::string url = "http://127.0.0.1:7090";
+  std::string token;
+  std::string output = "table";
+  std::string operation;
+  std::string if_match;
+  std::string file;
+  std::string name;
+  exit_code code = exit_code::done;
+
+  admin_client client() const { return {url, token}; }
+
+  void show(const admin_reply& r, const view& as_table) {
+    if (r.status == 0) {
+      std::cerr << "no answer from " << url << ": " << r.body << "\n";
+      code = exit_code::unavailable;
+      return;
+    }
+    const bool good = r.status < 300;
+    const bool json = output == "json";
+    (good ? std::cout : std::cerr)
+        << (json ? r.body + "\n"
+                 : (good ? as_table(r.body) : fields_as_table(r.body)));
+    if (!good) {
+      code = r.status == 409   ? exit_code::conflict
+             : r.status == 503 ? exit_code::unavailable
+             : r.status == 400 ? exit_code::bad_input
+                               : exit_code::refused;
+    }
+  }
+
+  void get(const std::string& path, const view& as_table) {
+    show(client().call("GET", path), as_table);
+  }
+
+  void change(const std::string& method, const std::string& path,
+              const std::string& body = "") {
+    show(client().call(method, path, body, operation, if_match),
+         fields_as_table);
+  }
+
+  void apply_contract() {
+    std::ifstream in(file);
+    std::ostringstream text;
+    text << in.rdbuf();
+    std::string fault;
+    const std::optional<std::string> json = yaml_to_json(text.str(), fault);
+    const nlohmann::json parsed =
+        json ? nlohmann::json::parse(*json) : nlohmann::json();
+    if (!in || !parsed.is_object() || !parsed.contains("team") ||
+        !parsed["team"].is_string()) {
+      std::cerr << file << ": not a contract " << fault << "\n";
+      code = exit_code::bad_input;
+      return;
+    }
+    change("PUT", "/v1/contracts/" + parsed["team"].get<std::string>(),
+           *json);
+  }
+};
+
+std::string random_operation() {
+  std::random_device source;
+  std::ostringstream out;
+  out << std::hex << source() << source() << source();
+  return out.str();
+}
+
+CLI::App* command(CLI::App& parent, const std::string& name,
+                  const std::string& what, const std::string& example,
+                  std::function<void()> action) {
+  CLI::App* out = parent.add_subcommand(name, what);
+  out->footer("Example: " + example);
+  if (action) {
+    out->callback(std::move(action));
+  }
+  return out;
+}
+
+void add_contract_commands(CLI::App& app, program& p) {
+  CLI::App* group = command(app, "contract", "contracts of teams",
+                            "kingcupslip contract list", nullptr);
+  group->require_subcommand(1);
+  CLI::App* apply = command(
+      *group, "apply", "write a team's contract from a YAML file",
+      "kingcupslip contract apply team-a.yaml", [&p] { p.apply_contract(); });
+  apply->add_option("FILE", p.file, "the contract")->required();
+  apply->add_option("--if-sequence", p.if_match,
+                    "write only if the contract is still of this sequence; "
+                    "0: only if there is none");
+  command(*group, "list", "all contracts", "kingcupslip contract list",
+          [&p] { p.get("/v1/contracts", contracts_as_table); });
+  command(*group, "get", "one contract with its sequence",
+          "kingcupslip contract get team-a --output json",
+          [&p] { p.get("/v1/contracts/" + p.name, fields_as_table); })
+      ->add_option("TEAM", p.name)
+      ->required();
+}
+
+void add_key_commands(CLI::App& app, program& p) {
+  CLI::App* group = command(app, "key", "keys of teams",
+                            "kingcupslip key list", nullptr);
+  group->require_subcommand(1);
+  command(*group, "issue", "make a key; its secret is shown this once",
+          "kingcupslip key issue team-a",
+          [&p] {
+            p.change("POST", "/v1/keys",
+                     nlohmann::json{{"team", p.name}}.dump());
+          })
+      ->add_option("TEAM", p.name)
+      ->required();
+  command(*group, "withdraw", "withdraw a key for good",
+          "kingcupslip key withdraw k0123456789ab",
+          [&p] { p.change("DELETE", "/v1/keys/" + p.name); })
+      ->add_option("ID", p.name)
+      ->required();
+  command(*group, "list", "all keys", "kingcupslip key list",
+          [&p] { p.get("/v1/keys", keys_as_table); });
+}
+
+void add_mark_commands(CLI::App& app, program& p, const std::string& kind) {
+  CLI::App* group =
+      command(app, kind, "take a " + kind + " out of service or back",
+              "kingcupslip " + kind + " list", nullptr);
+  group->require_subcommand(1);
+  const std::string path = "/v1/out/" + kind;
+  command(*group, "take-out", "give it no new work",
+          "kingcupslip " + kind + " take-out NAME",
+          [&p, path] { p.change("PUT", path + "/" + p.name); })
+      ->add_option("NAME", p.name)
+      ->required();
+  command(*group, "return", "give it work again, gently at first",
+          "kingcupslip " + kind + " return NAME",
+          [&p, path] { p.change("DELETE", path + "/" + p.name); })
+      ->add_option("NAME", p.name)
+      ->required();
+  command(*group, "list", "what is out of service",
+          "kingcupslip " + kind + " list",
+          [&p, path] { p.get(path, fields_as_table); });
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Operates a kingcupslip fleet through any of its nodes"};
+  program p;
+  p.operation = random_operation();
+  app.set_version_flag("--version",
+                       "kingcupslip " + std::string(kingcupslip::version));
+  app.add_option("--url", p.url, "administration address of any node")
+      ->envname("KINGCUPSLIP_ADMIN_URL");
+  app.add_option("--token", p.token, "operators' token")
+      ->envname("KINGCUPSLIP_OPERATOR_TOKEN");
+  app.add_option("--output", p.output, "how to print")
+      ->check(CLI::IsMember({"table", "json"}));
+  app.add_option("--operation", p.operation,
+                 "repeat a change of unknown outcome under its id");
+  app.require_subcommand(1);
+  app.fallthrough();
+  app.footer("Exit codes: 0 done, 1 refused, 2 bad input, 3 conflict, "
+             "4 no answer or not known to be done");
+  add_contract_commands(app, p);
+  add_key_commands(app, p);
+  add_mark_commands(app, p, "data-centre");
+  add_mark_commands(app, p, "target");
+  command(app, "status", "members and where the configuration is in force",
+          "kingcupslip status",
+          [&p] { p.get("/v1/status", status_as_table); });
+  command(app, "report", "the closing report over the whole fleet",
+          "kingcupslip report --output json",
+          [&p] { p.get("/v1/report", report_as_table); });
+  CLI11_PARSE(app, argc, argv);
+  return static_cast<int>(p.code);
+}
--- /dev/null
+++ b/tests/standins/target_service.cpp
@@ -0,0 +1,244 @@
+// A target as a process: slots, service time, cold start, crash, nesting.
+#include "kingcupslip/core/header_names.hpp"
+#include "kingcupslip/net/http_client.hpp"
+#include "kingcupslip/net/http_server.hpp"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <deque>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unistd.h>
+
+namespace {
+
+using namespace kingcupslip;
+using nlohmann::json;
+using tcp = boost::asio::ip::tcp;
+
+constexpr std::string_view crash_mark = "crash-this-target";
+constexpr std::size_t most_waiting = 500;
+constexpr std::chrono::milliseconds announce_period{500};
+constexpr std::chrono::milliseconds drain_span{2500};
+
+struct target_settings {
+  std::string name;
+  std::string service;
+  std::uint16_t port = 0;
+  std::uint16_t announce_port = 0;
+  std::uint16_t node_port = 0;
+  std::uint32_t slots = 10;
+  std::uint32_t service_ms = 5;
+  std::uint32_t cold_ms = 0; ///< as long, service takes four times as long
+  std::string nested;        ///< path of a call made through the node
+  std::string log_file;
+};
+
+std::string header_of(const caller_request& r, std::string_view name) {
+  for (const header& it : r.headers) {
+    if (same_header(it.name, name)) {
+      return it.value;
+    }
+  }
+  return {};
+}
+
+tcp::endpoint local(std::uint16_t port) {
+  return {boost::asio::ip::make_address("127.0.0.1"), port};
+}
+
+class target {
+public:
+  target(io_loop& loop, target_settings s)
+      : m_loop(loop), m_settings(std::move(s)), m_timer(loop),
+        m_started(read_clocks().now), m_log(m_settings.log_file, std::ios::app),
+        m_announcements(loop, local(m_settings.announce_port)),
+        m_nested(loop, local(m_settings.node_port)),
+        m_server(loop, "127.0.0.1", m_settings.port, server_limits{},
+                 [this](const caller_request& r, const answer_sender& send) {
+                   on_request(r, send);
+                 },
+                 [this](std::uint64_t c) { m_gone[c] = true; }) {
+    announce();
+  }
+
+  void drain() {
+    m_draining = true;
+    announce_now();
+  }
+
+private:
+  struct work {
+    caller_request request;
+    answer_sender send;
+  };
+
+  void on_request(const caller_request& r, const answer_sender& send) {
+    if (m_waiting.size() >= most_waiting) {
+      outcome o;
+      o.ran = verdict::not_run;
+      o.why = reason::shed;
+      o.status = 503;
+      send(o);
+      return;
+    }
+    m_gone.erase(r.connection);
+    m_waiting.push_back({r, send});
+    start_next();
+  }
+
+  void start_next() {
+    while (m_running < m_settings.slots && !m_waiting.empty()) {
+      work w = std::move(m_waiting.front());
+      m_waiting.pop_front();
+      if (m_gone.count(w.request.connection) != 0) {
+        // Cancelled before it began.
+        w.send(outcome{});
+        continue;
+      }
+      run(std::move(w));
+    }
+  }
+
+  void run(work w) {
+    ++m_running;
+    record(w.request);
+    const std::string body(w.request.body.begin(), w.request.body.end());
+    if (body.find(crash_mark) != std::string::npos) {
+      m_log.flush();
+      _exit(1);
+    }
+    const bool cold = read_clocks().now - m_started <
+                      std::chrono::milliseconds(m_settings.cold_ms);
+    const std::chrono::milliseconds span(m_settings.service_ms *
+                                         (cold ? 4 : 1));
+    const std::shared_ptr<boost::asio::steady_timer> timer =
+        std::make_shared<boost::asio::steady_timer>(m_loop, span);
+    timer->async_wait([this, timer, w](const boost::system::error_code&) {
+      if (m_settings.nested.empty()) {
+        finish(w, 200);
+        return;
+      }
+      call_nested(w);
+    });
+  }
+
+  void call_nested(const work& w) {
+    target_request r;
+    r.method = "POST";
+    r.path = m_settings.nested;
+    r.time_left = std::chrono::seconds(5);
+    r.body = w.request.body;
+    for (const std::string_view name :
+         {header_names::context, header_names::idempotency_key}) {
+      r.headers.push_back(
+          {std::string(name), header_of(w.request, name)});
+    }
+    m_nested.send(++m_next, std::move(r), [this, w](const target_result& n) {
+      finish(w, n.status == 200 ? 200 : 502);
+    });
+  }
+
+  void finish(const work& w, std::uint16_t status) {
+    --m_running;
+    outcome o;
+    o.ran = verdict::ran;
+    o.status = status;
+    o.headers.push_back({"X-Target", m_settings.name});
+    o.body = w.request.body;
+    w.send(std::move(o));
+    start_next();
+  }
+
+  void record(const caller_request& r) {
+    json headers = json::object();
+    for (const header& it : r.headers) {
+      headers[it.name] = it.value;
+    }
+    m_log << json{{"service", m_settings.service},
+                  {"target", m_settings.name},
+                  {"path", r.target},
+                  {"idempotency_key",
+                   header_of(r, header_names::idempotency_key)},
+                  {"headers", headers},
+                  {"body_size", r.body.size()}}
+                 .dump()
+          << std::endl;
+  }
+
+  void announce_now() {
+    const std::string text =
+        json{{"instance", m_settings.name + "/" + std::to_string(getpid())},
+             {"draining", m_draining}}
+            .dump();
+    target_request r;
+    r.method = "POST";
+    r.path = "/announce";
+    r.time_left = std::chrono::seconds(1);
+    r.body.assign(text.begin(), text.end());
+    m_announcements.send(++m_next, std::move(r), [](const target_result&) {});
+  }
+
+  void announce() {
+    announce_now();
+    m_timer.expires_after(announce_period);
+    m_timer.async_wait([this](const boost::system::error_code& ec) {
+      if (!ec) {
+        announce();
+      }
+    });
+  }
+
+  io_loop& m_loop;
+  target_settings m_settings;
+  boost::asio::steady_timer m_timer;
+  instant m_started;
+  std::ofstream m_log;
+  http_client m_announcements;
+  http_client m_nested;
+  std::deque<work> m_waiting;
+  std::map<std::uint64_t, bool> m_gone;
+  std::uint32_t m_running = 0;
+  std::uint64_t m_next = 0;
+  bool m_draining = false;
+  http_server m_server;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Stand-in for a target"};
+  target_settings s;
+  app.add_option("--name", s.name)->required();
+  app.add_option("--service", s.service)->required();
+  app.add_option("--port", s.port)->required();
+  app.add_option("--announce-port", s.announce_port)->required();
+  app.add_option("--node-port", s.node_port)->required();
+  app.add_option("--slots", s.slots);
+  app.add_option("--service-ms", s.service_ms);
+  app.add_option("--cold-ms", s.cold_ms);
+  app.add_option("--nested", s.nested);
+  app.add_option("--log", s.log_file)->required();
+  CLI11_PARSE(app, argc, argv);
+  io_loop loop;
+  target t(loop, s);
+  boost::asio::signal_set signals(loop, SIGTERM, SIGINT);
+  boost::asio::steady_timer timer(loop);
+  signals.async_wait([&](const boost::system::error_code&, int) {
+    t.drain();
+    timer.expires_after(drain_span);
+    timer.async_wait(
+        [&loop](const boost::system::error_code&) { loop.stop(); });
+  });
+  loop.run();
+  return 0;
+}
