--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -64,10 +64,8 @@
                 static_cast<unsigned long long>(ms >> 16U),
                 static_cast<unsigned long long>(ms & 0xffffU),
                 static_cast<unsigned long long>(random() & 0xfffU),
-                static_cast<unsigned long long>(0x8000U |
-                                                (random() & 0x3fffU)),
-                static_cast<unsigned long long>(random() &
-                                                0xffffffffffffULL));
+                static_cast<unsigned long long>(0x8000U | (random() & 0x3fffU)),
+                static_cast<unsigned long long>(random() & 0xffffffffffffULL));
   return buf.data();
 }
 
@@ -76,8 +74,8 @@
     return 0;
   }
   std::sort(v.begin(), v.end());
-  const std::size_t i = static_cast<std::size_t>(
-      p * static_cast<double>(v.size() - 1));
+  const std::size_t i =
+      static_cast<std::size_t>(p * static_cast<double>(v.size() - 1));
   return v[i];
 }
 
@@ -144,11 +142,10 @@
     r.path = s.path;
     r.time_left = std::chrono::seconds(4);
     r.body.assign(key.begin(), key.end());
-    r.headers.push_back(
-        {std::string(header_names::idempotency_key), key});
+    r.headers.push_back({std::string(header_names::idempotency_key), key});
     if (!s.key.empty()) {
-      r.headers.push_back({std::string(header_names::authorization),
-                           "Bearer " + s.key});
+      r.headers.push_back(
+          {std::string(header_names::authorization), "Bearer " + s.key});
     }
     const instant began = read_clocks().now;
     http_client& to = *m_clients[m_next++ % m_clients.size()];
@@ -171,9 +168,8 @@
       return;
     }
     const json problem = json::parse(body, nullptr, false);
-    const std::string why = problem.is_object()
-                                ? problem.value("reason", "target")
-                                : "target";
+    const std::string why =
+        problem.is_object() ? problem.value("reason", "target") : "target";
     ++out.refused[why];
     if (value_of(a, header_names::verdict) == name_of(verdict::not_run)) {
       out.not_run_keys.insert(key);
@@ -200,8 +196,8 @@
   std::string line;
   while (std::getline(in, line)) {
     const json row = json::parse(line, nullptr, false);
-    if (row.is_object() && ("/" + row.value("service", "") +
-                            row.value("path", "")) == path_part) {
+    if (row.is_object() &&
+        ("/" + row.value("service", "") + row.value("path", "")) == path_part) {
       ++out[row.value("idempotency_key", "")];
     }
   }
--- a/src/kingcupslip/cli/admin_client.cpp
+++ b/src/kingcupslip/cli/admin_client.cpp
@@ -20,8 +20,7 @@
     : m_url(std::move(url)), m_token(std::move(token)) {}
 
 admin_reply admin_client::call(const std::string& method,
-                               const std::string& path,
-                               const std::string& body,
+                               const std::string& path, const std::string& body,
                                const std::string& operation,
                                const std::string& if_match) const {
   rest::client::http_client_config config;
--- a/src/kingcupslip/cli/report_view.cpp
+++ b/src/kingcupslip/cli/report_view.cpp
@@ -61,8 +61,7 @@
                     field(it, "asked"), field(it, "ran"),
                     std::to_string(sum_of(it["refused"])),
                     field(it, "may_have_run"), counts_text(it["refused"]),
-                    counts_text(it["uncertain"]),
-                    counts_text(it["retried"])});
+                    counts_text(it["uncertain"]), counts_text(it["retried"])});
   }
   std::string out = render_table({"TEAM", "ROUTE", "ASKED", "RAN", "NOT-RUN",
                                   "MAY-HAVE-RUN", "NOT-RUN BECAUSE",
@@ -85,12 +84,12 @@
                     ", configuration sequence " +
                     field(status, "config_sequence") + ", confirmed " +
                     field(status, "config_age_s") + " s ago\n";
-  out += render_table(
-      {"NODE", "DATA CENTRE", "SERVICE", "STATE", "READY", "LIMIT",
-       "KEY SLOTS", "CONFIG"},
-      rows_of(status["members"],
-              {"node", "data_centre", "service", "state", "ready", "limit",
-               "key_slots", "config_sequence"}));
+  out +=
+      render_table({"NODE", "DATA CENTRE", "SERVICE", "STATE", "READY", "LIMIT",
+                    "KEY SLOTS", "CONFIG"},
+                   rows_of(status["members"],
+                           {"node", "data_centre", "service", "state", "ready",
+                            "limit", "key_slots", "config_sequence"}));
   return out;
 }
 
@@ -99,18 +98,16 @@
   for (const json& it : json::parse(json_text)) {
     rows.push_back({field(it, "team"), field(it, "rate_per_s"),
                     field(it, "burst"), field(it, "weight"),
-                    field(it, "retries"),
-                    std::to_string(it["routes"].size())});
+                    field(it, "retries"), std::to_string(it["routes"].size())});
   }
-  return render_table({"TEAM", "RATE/S", "BURST", "WEIGHT", "RETRIES",
-                       "ROUTES"},
-                      rows);
+  return render_table(
+      {"TEAM", "RATE/S", "BURST", "WEIGHT", "RETRIES", "ROUTES"}, rows);
 }
 
 std::string keys_as_table(const std::string& json_text) {
-  return render_table({"ID", "TEAM", "WITHDRAWN"},
-                      rows_of(json::parse(json_text),
-                              {"id", "team", "withdrawn"}));
+  return render_table(
+      {"ID", "TEAM", "WITHDRAWN"},
+      rows_of(json::parse(json_text), {"id", "team", "withdrawn"}));
 }
 
 std::string fields_as_table(const std::string& json_text) {
--- a/src/kingcupslip/core/admission_queue.cpp
+++ b/src/kingcupslip/core/admission_queue.cpp
@@ -78,8 +78,7 @@
 std::optional<waiting_request> admission_queue::pop(rank_lines& lines) {
   std::map<std::string, line>::iterator best = lines.teams.end();
   for (auto it = lines.teams.begin(); it != lines.teams.end(); ++it) {
-    if (best == lines.teams.end() ||
-        it->second.served < best->second.served) {
+    if (best == lines.teams.end() || it->second.served < best->second.served) {
       best = it;
     }
   }
@@ -140,8 +139,7 @@
       l.impatient.empty() ? std::prev(part.end()) : part.begin();
   if (newcomer != nullptr) {
     const auto own = lines.teams.find(newcomer->team);
-    const std::size_t mine =
-        own == lines.teams.end() ? 0 : own->second.size();
+    const std::size_t mine = own == lines.teams.end() ? 0 : own->second.size();
     const double my_load = static_cast<double>(mine + 1) / newcomer->weight;
     const bool over_its_share =
         fullest->first != newcomer->team && most > my_load;
--- a/src/kingcupslip/core/answer_memory.cpp
+++ b/src/kingcupslip/core/answer_memory.cpp
@@ -42,8 +42,8 @@
 }
 
 /// Whether a run before `complete_since` can be ruled out.
-bool first_sent_since(std::optional<wall_time> minted,
-                      wall_time complete_since, wall_time now) {
+bool first_sent_since(std::optional<wall_time> minted, wall_time complete_since,
+                      wall_time now) {
   if (complete_since == wall_time(0)) {
     return true;
   }
@@ -94,8 +94,7 @@
   const std::optional<wall_time> minted = minting_time(key);
   const wall_time life =
       std::chrono::duration_cast<wall_time>(answer_memory_life);
-  const bool forgotten =
-      minted && *minted + life < t.wall + wall_clock_skew;
+  const bool forgotten = minted && *minted + life < t.wall + wall_clock_skew;
   if (forgotten || !first_sent_since(minted, complete_since, t.wall)) {
     return refusal(reason::outcome_unknown, verdict::may_have_run);
   }
@@ -138,8 +137,7 @@
 std::vector<remembered_request> answer_memory::entries_of(
     const std::function<bool(const remembered_request&)>& picked) const {
   std::vector<remembered_request> out;
-  for (const std::pair<const std::string, remembered_request>& it :
-       m_entries) {
+  for (const std::pair<const std::string, remembered_request>& it : m_entries) {
     if (picked(it.second)) {
       out.push_back(it.second);
     }
--- a/src/kingcupslip/core/answer_memory.hpp
+++ b/src/kingcupslip/core/answer_memory.hpp
@@ -61,8 +61,8 @@
   void adopt(remembered_request entry);
 
   /// Visits every entry of the keys that `picked` says.
-  std::vector<remembered_request>
-  entries_of(const std::function<bool(const remembered_request&)>& picked) const;
+  std::vector<remembered_request> entries_of(
+      const std::function<bool(const remembered_request&)>& picked) const;
 
   void expire(instant now);
   std::size_t size() const { return m_entries.size(); }
--- a/src/kingcupslip/core/balancer.hpp
+++ b/src/kingcupslip/core/balancer.hpp
@@ -32,9 +32,9 @@
 /// Power of two choices on `relative_load`, in this data centre first; other
 /// data centres when the better local one is full and `overflow` allows.
 /// Returns null where `targets` is empty.
-const target_view*
-choose_target(const std::vector<target_view>& targets, bool overflow,
-              const std::function<std::uint64_t()>& random);
+const target_view* choose_target(const std::vector<target_view>& targets,
+                                 bool overflow,
+                                 const std::function<std::uint64_t()>& random);
 
 } // namespace kingcupslip
 
--- a/src/kingcupslip/core/config_sync.cpp
+++ b/src/kingcupslip/core/config_sync.cpp
@@ -22,8 +22,8 @@
 
 duration jittered(duration d, const member_table::random_source& random) {
   const std::uint64_t span = static_cast<std::uint64_t>(d.count());
-  return duration(static_cast<duration::rep>(span * 3 / 4 +
-                                             random() % (span / 2 + 1)));
+  return duration(
+      static_cast<duration::rep>(span * 3 / 4 + random() % (span / 2 + 1)));
 }
 
 } // namespace
@@ -72,8 +72,8 @@
   m_send(from, std::move(body));
 }
 
-void config_sync::on_pull(const std::string& from,
-                          const wire::config_pullT& m, instant now) {
+void config_sync::on_pull(const std::string& from, const wire::config_pullT& m,
+                          instant now) {
   if (!m_ready) {
     return;
   }
@@ -81,9 +81,8 @@
   wire::config_deltaT delta;
   delta.since = m.since;
   delta.through = m_config.sequence();
-  delta.age_ms =
-      static_cast<std::uint32_t>(std::min<std::int64_t>(
-          age(now) / std::chrono::milliseconds(1), UINT32_MAX));
+  delta.age_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(
+      age(now) / std::chrono::milliseconds(1), UINT32_MAX));
   for (const config_item& it : items) {
     std::unique_ptr<wire::config_itemT> item =
         std::make_unique<wire::config_itemT>();
@@ -135,57 +134,56 @@
 void config_sync::poll(instant now) {
   m_busy = true;
   ++m_reads;
-  m_table.read({std::string(config_head_key), "", 1},
-               [this, now](table_status status,
-                           const std::vector<table_row>& rows) {
-                 m_busy = false;
-                 if (status != table_status::ok) {
-                   return;
-                 }
-                 const std::uint64_t last =
-                     rows.empty() ? 0 : parse_head(rows.front().value);
-                 if (last <= m_config.sequence()) {
-                   // A lagging read of an older head changes nothing.
-                   confirm(last, now);
-                   m_ready = true;
-                   return;
-                 }
-                 const bool far_behind =
-                     !m_ready ||
-                     last - m_config.sequence() > config_log_length;
-                 if (far_behind) {
-                   read_items(last, now);
-                 } else {
-                   read_log(last, now);
-                 }
-               });
+  m_table.read(
+      {std::string(config_head_key), "", 1},
+      [this, now](table_status status, const std::vector<table_row>& rows) {
+        m_busy = false;
+        if (status != table_status::ok) {
+          return;
+        }
+        const std::uint64_t last =
+            rows.empty() ? 0 : parse_head(rows.front().value);
+        if (last <= m_config.sequence()) {
+          // A lagging read of an older head changes nothing.
+          confirm(last, now);
+          m_ready = true;
+          return;
+        }
+        const bool far_behind =
+            !m_ready || last - m_config.sequence() > config_log_length;
+        if (far_behind) {
+          read_items(last, now);
+        } else {
+          read_log(last, now);
+        }
+      });
 }
 
 void config_sync::read_log(std::uint64_t through, instant began) {
   m_busy = true;
   ++m_reads;
   const std::uint64_t since = m_config.sequence();
-  m_table.read({std::string(config_log_prefix), config_log_key(since),
-                items_per_delta},
-               [this, since, through, began](
-                   table_status status, const std::vector<table_row>& rows) {
-                 m_busy = false;
-                 if (status != table_status::ok) {
-                   return;
-                 }
-                 std::vector<config_item> items;
-                 std::uint64_t last = since;
-                 for (const table_row& it : rows) {
-                   const config_change c = parse_change(it.value);
-                   if (c.item.sequence != last + 1) {
-                     break;
-                   }
-                   last = c.item.sequence;
-                   items.push_back(c.item);
-                 }
-                 const instant as_of = last >= through ? began : instant(0);
-                 take(items, since, last, as_of);
-               });
+  m_table.read(
+      {std::string(config_log_prefix), config_log_key(since), items_per_delta},
+      [this, since, through, began](table_status status,
+                                    const std::vector<table_row>& rows) {
+        m_busy = false;
+        if (status != table_status::ok) {
+          return;
+        }
+        std::vector<config_item> items;
+        std::uint64_t last = since;
+        for (const table_row& it : rows) {
+          const config_change c = parse_change(it.value);
+          if (c.item.sequence != last + 1) {
+            break;
+          }
+          last = c.item.sequence;
+          items.push_back(c.item);
+        }
+        const instant as_of = last >= through ? began : instant(0);
+        take(items, since, last, as_of);
+      });
 }
 
 void config_sync::read_items(std::uint64_t through, instant began) {
@@ -221,8 +219,8 @@
 }
 
 void config_sync::push(std::uint64_t since) {
-  std::vector<std::string> to = m_members.random_peers(
-      m_members.self().info.data_centre, push_fanout);
+  std::vector<std::string> to =
+      m_members.random_peers(m_members.self().info.data_centre, push_fanout);
   const std::vector<std::string> anywhere =
       m_members.random_peers("", push_fanout);
   to.insert(to.end(), anywhere.begin(), anywhere.end());
--- a/src/kingcupslip/core/config_sync.hpp
+++ b/src/kingcupslip/core/config_sync.hpp
@@ -30,8 +30,8 @@
   void tick(instant now);
 
   /// A peer's gossip: its sequence, and how old its knowledge is.
-  void on_gossip(const std::string& from, std::uint64_t sequence,
-                 duration age, instant now);
+  void on_gossip(const std::string& from, std::uint64_t sequence, duration age,
+                 instant now);
   void on_pull(const std::string& from, const wire::config_pullT& m,
                instant now);
   void on_delta(const std::string& from, const wire::config_deltaT& m,
--- a/src/kingcupslip/core/config_writer.cpp
+++ b/src/kingcupslip/core/config_writer.cpp
@@ -104,15 +104,14 @@
       {config_item_key(m_request.key), item_version, text, false},
       {config_log_key(m_sequence), 0, text, false}};
   const std::shared_ptr<config_write> self = shared_from_this();
-  m_table.commit(std::move(writes),
-                 [self](table_status status, std::uint64_t) {
-                   if (status == table_status::ok) {
-                     self->finish(write_status::accepted, self->m_sequence);
-                     return;
-                   }
-                   self->m_unsettled = status == table_status::unknown;
-                   self->again(status != table_status::conflict);
-                 });
+  m_table.commit(std::move(writes), [self](table_status status, std::uint64_t) {
+    if (status == table_status::ok) {
+      self->finish(write_status::accepted, self->m_sequence);
+      return;
+    }
+    self->m_unsettled = status == table_status::unknown;
+    self->again(status != table_status::conflict);
+  });
 }
 
 void config_write::again(bool counts) {
--- a/src/kingcupslip/core/configuration.cpp
+++ b/src/kingcupslip/core/configuration.cpp
@@ -52,8 +52,7 @@
   return true;
 }
 
-std::vector<config_item>
-configuration::items_after(std::uint64_t since) const {
+std::vector<config_item> configuration::items_after(std::uint64_t since) const {
   std::vector<config_item> out;
   for (const std::pair<const std::string, config_item>& it : m_items) {
     if (it.second.sequence > since) {
--- a/src/kingcupslip/core/contract_codec.cpp
+++ b/src/kingcupslip/core/contract_codec.cpp
@@ -52,8 +52,8 @@
 
   double number(const char* key, double fallback, double low, double high,
                 bool needed) {
-    const std::string expected = "a number from " + json(low).dump() + " to " +
-                                 json(high).dump();
+    const std::string expected =
+        "a number from " + json(low).dump() + " to " + json(high).dump();
     const json* it = find(key, needed, expected);
     if (it == nullptr) {
       return fallback;
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -18,8 +18,7 @@
 dispatcher::dispatcher(options o, const clock_reading& clock,
                        member_table& members, const configuration& config,
                        pending_calls& calls, target_stage& local,
-                       message_sender send,
-                       member_table::random_source random)
+                       message_sender send, member_table::random_source random)
     : m_options(o), m_clock(clock), m_members(members), m_config(config),
       m_calls(calls), m_local(local), m_send(std::move(send)),
       m_random(std::move(random)) {}
@@ -74,17 +73,16 @@
   }
 }
 
-std::vector<target_view>
-dispatcher::candidates(const dispatch_job& job) const {
+std::vector<target_view> dispatcher::candidates(const dispatch_job& job) const {
   std::vector<target_view> out;
   const std::string& self = m_members.self().info.node;
   const std::string& here = m_members.self().info.data_centre;
   for (const std::pair<const std::string, member>& it : m_members.all()) {
     const wire::memberT& m = it.second.info;
-    const bool in_service =
-        m.service == job.request.service && m.ready && it.second.usable() &&
-        !m_config.target_out(m.node) &&
-        !m_config.data_centre_out(m.data_centre);
+    const bool in_service = m.service == job.request.service && m.ready &&
+                            it.second.usable() &&
+                            !m_config.target_out(m.node) &&
+                            !m_config.data_centre_out(m.data_centre);
     if (!in_service || job.tried.count(m.node) != 0) {
       continue;
     }
@@ -103,8 +101,7 @@
 }
 
 void dispatcher::attempt(const std::shared_ptr<dispatch_job>& job) {
-  const reason stop =
-      job->may_send ? job->may_send() : reason::none;
+  const reason stop = job->may_send ? job->may_send() : reason::none;
   if (stop != reason::none) {
     finish(job, refusal(stop));
     return;
@@ -119,8 +116,7 @@
     job->tried.clear();
     targets = candidates(*job);
   }
-  const bool overflow =
-      job->deadline - m_clock.now > time_for_overflow;
+  const bool overflow = job->deadline - m_clock.now > time_for_overflow;
   const target_view* chosen = choose_target(targets, overflow, m_random);
   if (chosen == nullptr) {
     finish(job, refusal(reason::no_target, verdict::not_run,
@@ -207,8 +203,7 @@
       !info_of(o.why).retry_elsewhere || job.request.retries == 0) {
     return false;
   }
-  const bool harmless =
-      o.ran == verdict::not_run || job.request.idempotent;
+  const bool harmless = o.ran == verdict::not_run || job.request.idempotent;
   if (!harmless) {
     return false;
   }
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -75,11 +75,9 @@
 private:
   std::vector<target_view> candidates(const dispatch_job& job) const;
   void attempt(const std::shared_ptr<dispatch_job>& job);
-  void send(const std::shared_ptr<dispatch_job>& job,
-            const std::string& node);
+  void send(const std::shared_ptr<dispatch_job>& job, const std::string& node);
   void on_outcome(const std::shared_ptr<dispatch_job>& job,
-                  const std::string& node, std::uint32_t allowance,
-                  outcome o);
+                  const std::string& node, std::uint32_t allowance, outcome o);
   bool may_retry(dispatch_job& job, const outcome& o);
   void finish(const std::shared_ptr<dispatch_job>& job, outcome o);
 
--- a/src/kingcupslip/core/entry_stage.cpp
+++ b/src/kingcupslip/core/entry_stage.cpp
@@ -45,19 +45,17 @@
 
 bool well_formed(const caller_request& r) {
   const std::string_view key = value_of(r, header_names::idempotency_key);
-  const bool printable = std::all_of(key.begin(), key.end(), [](char c) {
-    return c > ' ' && c <= '~';
-  });
+  const bool printable = std::all_of(
+      key.begin(), key.end(), [](char c) { return c > ' ' && c <= '~'; });
   if (key.size() > longest_idempotency_key || !printable) {
     return false;
   }
   const std::string_view timeout = value_of(r, header_names::timeout_ms);
   std::uint64_t ms = 0;
-  const std::from_chars_result read = std::from_chars(
-      timeout.data(), timeout.data() + timeout.size(), ms);
-  return timeout.empty() ||
-         (read.ec == std::errc() &&
-          read.ptr == timeout.data() + timeout.size());
+  const std::from_chars_result read =
+      std::from_chars(timeout.data(), timeout.data() + timeout.size(), ms);
+  return timeout.empty() || (read.ec == std::errc() &&
+                             read.ptr == timeout.data() + timeout.size());
 }
 
 std::uint64_t digest_of(const std::string& service, const std::string& path,
@@ -75,14 +73,13 @@
 
 entry_stage::entry_stage(entry_options options, parts p,
                          const clock_reading& clock)
-    : m_options(std::move(options)), m_parts(std::move(p)), m_clock(clock) {}
+    : m_options(std::move(options)), m_parts(std::move(p)), m_clock(clock),
+      m_gate(m_parts.shares, clock) {}
 
-void entry_stage::on_request(caller_request request,
-                             outcome_handler handler) {
+void entry_stage::on_request(caller_request request, outcome_handler handler) {
   std::string service;
   std::string path;
-  if (!split_target(request.target, service, path) ||
-      !well_formed(request)) {
+  if (!split_target(request.target, service, path) || !well_formed(request)) {
     handler(refusal(reason::malformed));
     return;
   }
@@ -113,19 +110,43 @@
     return;
   }
   set_deadline(request, a);
-  duration wait{0};
-  const bool counted_here = !a.context && m_options.rate_limits;
-  if (counted_here && !m_parts.shares.admit(team, m_clock.now, wait)) {
-    done(refusal(reason::over_rate, verdict::not_run, to_ms_up(wait)));
+  if (a.context || !m_options.rate_limits) {
+    // Counted where it entered the fleet, not once more at each call below.
+    pass(std::move(request), a, service, path, counted, done);
     return;
   }
+  const std::shared_ptr<caller_request> held =
+      std::make_shared<caller_request>(std::move(request));
+  m_gate.enter(team, a.deadline,
+               [this, held, service, path, counted, done,
+                deadline = a.deadline](bool passed, duration retry_after) {
+                 if (!passed) {
+                   done(refusal(reason::over_rate, verdict::not_run,
+                                to_ms_up(retry_after)));
+                   return;
+                 }
+                 // Contracts and keys may have changed while it waited.
+                 admission now;
+                 const reason why = identify(*held, service, path, now);
+                 if (why != reason::none) {
+                   done(refusal(why));
+                   return;
+                 }
+                 now.deadline = deadline;
+                 pass(std::move(*held), now, service, path, counted, done);
+               });
+}
+
+void entry_stage::pass(caller_request request, const admission& a,
+                       const std::string& service, const std::string& path,
+                       const tally_key& counted, outcome_handler done) {
   const std::uint64_t connection = request.connection;
   wire::callT call = make_call(request, a, service, path);
   if (m_parts.crashes.condemned(call.digest, m_clock.now)) {
     done(refusal(reason::quarantined));
     return;
   }
-  route(std::move(call), a, connection, counted, done);
+  route(std::move(call), a, connection, counted, std::move(done));
 }
 
 void entry_stage::on_caller_gone(std::uint64_t connection) {
@@ -142,12 +163,10 @@
 
 reason entry_stage::identify(const caller_request& r,
                              const std::string& service,
-                             const std::string& path,
-                             admission& out) const {
+                             const std::string& path, admission& out) const {
   const std::string_view context = value_of(r, header_names::context);
   const std::string_view auth = value_of(r, header_names::authorization);
-  const bool has_key =
-      auth.substr(0, bearer_prefix.size()) == bearer_prefix;
+  const bool has_key = auth.substr(0, bearer_prefix.size()) == bearer_prefix;
   reason why = reason::none;
   if (!context.empty()) {
     why = identify_nested(context, out);
@@ -202,8 +221,7 @@
   if (out.team_contract == nullptr) {
     return reason::unknown_key;
   }
-  const bool stale =
-      m_parts.sync.age(m_clock.now) > m_options.confirmed_within;
+  const bool stale = m_parts.sync.age(m_clock.now) > m_options.confirmed_within;
   if (stale && m_options.unconfirmed == unconfirmed_keys::refuse) {
     return reason::unconfirmed_key;
   }
@@ -211,8 +229,8 @@
 }
 
 reason entry_stage::no_route(const std::string& service) const {
-  const bool known = m_parts.config.knows_service(service) ||
-                     m_parts.dispatch.serves(service);
+  const bool known =
+      m_parts.config.knows_service(service) || m_parts.dispatch.serves(service);
   return known ? reason::route_not_in_contract : reason::unknown_service;
 }
 
@@ -226,8 +244,8 @@
         ms, static_cast<std::uint64_t>(longest_timeout.count())));
   }
   if (a.context) {
-    left = std::min<std::chrono::milliseconds>(
-        left, a.context->deadline - m_clock.wall);
+    left = std::min<std::chrono::milliseconds>(left, a.context->deadline -
+                                                         m_clock.wall);
   }
   a.deadline = m_clock.now + left;
 }
@@ -282,8 +300,7 @@
       rest(std::move(o));
     };
   }
-  const bool remembered =
-      !call.idempotent && !call.idempotency_key.empty();
+  const bool remembered = !call.idempotent && !call.idempotency_key.empty();
   if (remembered) {
     ask_owner(std::make_shared<owner_call>(
         owner_call{std::move(call), a.deadline, connection, counted,
@@ -358,6 +375,7 @@
 }
 
 void entry_stage::tick() {
+  m_gate.tick();
   while (!m_asking_again.empty() &&
          m_asking_again.begin()->first <= m_clock.now) {
     const std::shared_ptr<owner_call> c = m_asking_again.begin()->second;
@@ -372,8 +390,7 @@
   }
   std::string best;
   std::uint64_t epoch = 0;
-  for (const std::pair<const std::string, member>& it :
-       m_parts.members.all()) {
+  for (const std::pair<const std::string, member>& it : m_parts.members.all()) {
     if (!it.second.usable()) {
       continue;
     }
--- a/src/kingcupslip/core/entry_stage.hpp
+++ b/src/kingcupslip/core/entry_stage.hpp
@@ -7,6 +7,7 @@
 #include "kingcupslip/core/configuration.hpp"
 #include "kingcupslip/core/owner_stage.hpp"
 #include "kingcupslip/core/quarantine.hpp"
+#include "kingcupslip/core/rate_gate.hpp"
 #include "kingcupslip/core/share_book.hpp"
 #include "kingcupslip/core/tally.hpp"
 
@@ -93,8 +94,10 @@
   reason no_route(const std::string& service) const;
   void set_deadline(const caller_request& r, admission& a) const;
   wire::callT make_call(caller_request& r, const admission& a,
-                        const std::string& service,
-                        const std::string& path);
+                        const std::string& service, const std::string& path);
+  void pass(caller_request request, const admission& a,
+            const std::string& service, const std::string& path,
+            const tally_key& counted, outcome_handler done);
   void route(wire::callT call, const admission& a, std::uint64_t connection,
              tally_key counted, outcome_handler done);
   /// A request on its way to the owner of its key. Asking again is safe:
@@ -116,6 +119,7 @@
   entry_options m_options;
   parts m_parts;
   const clock_reading& m_clock;
+  rate_gate m_gate;
   tally m_counts;
   std::unordered_map<std::uint64_t, std::weak_ptr<dispatch_job>> m_jobs;
   std::multimap<instant, std::shared_ptr<owner_call>> m_asking_again;
--- a/src/kingcupslip/core/fleet_agent.cpp
+++ b/src/kingcupslip/core/fleet_agent.cpp
@@ -92,8 +92,7 @@
           m.incarnation = value.value("incarnation", std::uint64_t{0});
           m_parts.members.merge(m, m_clock.now);
         }
-        for (const std::string& to :
-             m_parts.members.random_peers("", 3)) {
+        for (const std::string& to : m_parts.members.random_peers("", 3)) {
           gossip_to(to, true, samples_on_difference);
         }
       });
@@ -139,8 +138,7 @@
   wire::gossipT g;
   g.members = m_parts.members.news(news_per_gossip);
   if (samples > 0) {
-    for (std::unique_ptr<wire::memberT>& it :
-         m_parts.members.sample(samples)) {
+    for (std::unique_ptr<wire::memberT>& it : m_parts.members.sample(samples)) {
       g.members.push_back(std::move(it));
     }
   }
@@ -149,8 +147,8 @@
     std::unique_ptr<wire::suspectT> s = std::make_unique<wire::suspectT>();
     s->digest = it.digest;
     s->crashes = it.crashes;
-    s->expires_in_ms = static_cast<std::uint32_t>(
-        (it.expires - m_clock.now) / std::chrono::milliseconds(1));
+    s->expires_in_ms = static_cast<std::uint32_t>((it.expires - m_clock.now) /
+                                                  std::chrono::milliseconds(1));
     g.suspects.push_back(std::move(s));
   }
   g.config_sequence = m_parts.config.sequence();
@@ -164,8 +162,7 @@
   m_parts.send(node, std::move(body));
 }
 
-void fleet_agent::on_gossip(const std::string& from,
-                            const wire::gossipT& m) {
+void fleet_agent::on_gossip(const std::string& from, const wire::gossipT& m) {
   for (const std::unique_ptr<wire::memberT>& it : m.members) {
     m_parts.members.merge(*it, m_clock.now);
   }
@@ -245,8 +242,8 @@
   if (m_parts.members.self().info.ready == ready) {
     return;
   }
-  m_parts.members.update_self(
-      [ready](wire::memberT& m) { m.ready = ready; }, m_clock.now);
+  m_parts.members.update_self([ready](wire::memberT& m) { m.ready = ready; },
+                              m_clock.now);
   for (const std::string& to : m_parts.members.random_peers("", farewells)) {
     gossip_to(to, false, 0);
   }
@@ -297,8 +294,8 @@
   const std::string lease =
       m_parts.lease.holds(m_clock.now) ? m_parts.lease.id() : "";
   if (m_parts.members.self().info.lease != lease) {
-    m_parts.members.update_self(
-        [&lease](wire::memberT& m) { m.lease = lease; }, m_clock.now);
+    m_parts.members.update_self([&lease](wire::memberT& m) { m.lease = lease; },
+                                m_clock.now);
   }
 }
 
@@ -362,8 +359,8 @@
     return;
   }
   m_report_busy = true;
-  const std::string key = std::string(report_prefix) + m_parts.self.node +
-                          "#" + std::to_string(m_parts.self.incarnation);
+  const std::string key = std::string(report_prefix) + m_parts.self.node + "#" +
+                          std::to_string(m_parts.self.incarnation);
   m_parts.table.read({key, "", 1}, [this, key,
                                     rows](table_status status,
                                           const std::vector<table_row>& got) {
@@ -372,14 +369,13 @@
       return;
     }
     const bool there = !got.empty() && got.front().key == key;
-    m_parts.table.commit(
-        {{key, there ? got.front().version : 0, rows, false}},
-        [this, rows](table_status written, std::uint64_t) {
-          m_report_busy = false;
-          if (written == table_status::ok) {
-            m_reported = rows;
-          }
-        });
+    m_parts.table.commit({{key, there ? got.front().version : 0, rows, false}},
+                         [this, rows](table_status written, std::uint64_t) {
+                           m_report_busy = false;
+                           if (written == table_status::ok) {
+                             m_reported = rows;
+                           }
+                         });
   });
 }
 
@@ -387,8 +383,7 @@
   std::vector<std::uint32_t> due;
   for (const std::pair<const std::uint32_t, handover>& it : m_handovers) {
     const bool waited = m_clock.now - it.second.since > handover_patience;
-    if (it.second.sent ? waited
-                       : waited || !m_parts.owner.busy(it.first)) {
+    if (it.second.sent ? waited : waited || !m_parts.owner.busy(it.first)) {
       due.push_back(it.first);
     }
   }
@@ -431,8 +426,7 @@
 }
 
 bool fleet_agent::owner_known(std::uint32_t slot) const {
-  for (const std::pair<const std::string, member>& it :
-       m_parts.members.all()) {
+  for (const std::pair<const std::string, member>& it : m_parts.members.all()) {
     if (!it.second.usable()) {
       continue;
     }
@@ -468,8 +462,7 @@
 }
 
 void fleet_agent::tell_members() {
-  for (const std::pair<const std::string, member>& it :
-       m_parts.members.all()) {
+  for (const std::pair<const std::string, member>& it : m_parts.members.all()) {
     const auto told = m_told_states.find(it.first);
     const member_state s = it.second.state();
     if (told != m_told_states.end() && told->second == s) {
--- a/src/kingcupslip/core/header_names.cpp
+++ b/src/kingcupslip/core/header_names.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> hop_by_hop{
-    "Connection", "Keep-Alive",        "Proxy-Authenticate",
+    "Connection", "Keep-Alive",          "Proxy-Authenticate",
     "TE",         "Proxy-Authorization", "Trailer",
-    "Upgrade",    "Transfer-Encoding", "Content-Length",
+    "Upgrade",    "Transfer-Encoding",   "Content-Length",
     "Host"};
 
 constexpr std::string_view own_prefix = "kingcupslip-";
@@ -34,9 +34,8 @@
 
 bool same_header(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
-         std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-           return lower(x) == lower(y);
-         });
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](char x, char y) { return lower(x) == lower(y); });
 }
 
 bool passes_to_target(std::string_view name) {
--- a/src/kingcupslip/core/lease.cpp
+++ b/src/kingcupslip/core/lease.cpp
@@ -20,8 +20,7 @@
 } // namespace
 
 std::string to_json(const lease_record& r) {
-  return json{{"heir", r.heir}, {"fenced", r.fenced}, {"beat", r.beat}}
-      .dump();
+  return json{{"heir", r.heir}, {"fenced", r.fenced}, {"beat", r.beat}}.dump();
 }
 
 lease_record parse_lease(std::string_view json_text) {
@@ -90,8 +89,7 @@
   m_pending_began = now;
   m_try_at = now + retry_after_failure;
   m_table.commit({{m_id, m_version, m_pending_value, false}},
-                 [this, heir, now](table_status status,
-                                   std::uint64_t version) {
+                 [this, heir, now](table_status status, std::uint64_t version) {
                    on_written(status, version, heir, now);
                  });
 }
@@ -206,24 +204,22 @@
                               instant now) {
   w.busy = true;
   w.read_at = now;
-  m_table.read({lease_id, "", 1},
-               [this, lease_id, now](table_status status,
-                                     const std::vector<table_row>& rows) {
-                 m_wards[lease_id].busy = false;
-                 if (status != table_status::ok) {
-                   stand_still();
-                   return;
-                 }
-                 const bool there =
-                     !rows.empty() && rows.front().key == lease_id;
-                 const bool over =
-                     !there || parse_lease(rows.front().value).fenced;
-                 if (over) {
-                   m_wards.erase(lease_id);
-                   return;
-                 }
-                 look_at(rows.front(), false, now);
-               });
+  m_table.read({lease_id, "", 1}, [this, lease_id,
+                                   now](table_status status,
+                                        const std::vector<table_row>& rows) {
+    m_wards[lease_id].busy = false;
+    if (status != table_status::ok) {
+      stand_still();
+      return;
+    }
+    const bool there = !rows.empty() && rows.front().key == lease_id;
+    const bool over = !there || parse_lease(rows.front().value).fenced;
+    if (over) {
+      m_wards.erase(lease_id);
+      return;
+    }
+    look_at(rows.front(), false, now);
+  });
 }
 
 void lease_sweeper::stand_still() {
--- a/src/kingcupslip/core/member_table.cpp
+++ b/src/kingcupslip/core/member_table.cpp
@@ -79,8 +79,8 @@
     return true;
   }
   member& m = it->second;
-  const bool left_for_good = m.state() == member_state::left &&
-                             news.incarnation == m.info.incarnation;
+  const bool left_for_good =
+      m.state() == member_state::left && news.incarnation == m.info.incarnation;
   if (left_for_good || rank_of(news) <= rank_of(m.info)) {
     return false;
   }
@@ -113,8 +113,8 @@
       ++it;
       continue;
     }
-    const bool overdue = m.probe_sent_at != instant(0) &&
-                         now - m.probe_sent_at > probe_timeout;
+    const bool overdue =
+        m.probe_sent_at != instant(0) && now - m.probe_sent_at > probe_timeout;
     if (overdue) {
       m.probe_sent_at = instant(0);
       ++m.probes_missed;
--- a/src/kingcupslip/core/member_table.hpp
+++ b/src/kingcupslip/core/member_table.hpp
@@ -34,12 +34,9 @@
   std::uint64_t config_sequence = 0; ///< as its last gossip said
   instant failure_at{0};
 
-  member_state state() const {
-    return static_cast<member_state>(info.state);
-  }
+  member_state state() const { return static_cast<member_state>(info.state); }
   bool usable() const {
-    return state() == member_state::alive ||
-           state() == member_state::suspect;
+    return state() == member_state::alive || state() == member_state::suspect;
   }
 };
 
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -30,8 +30,7 @@
 node::node(node_options options, node_hooks hooks)
     : m_options(std::move(options)), m_hooks(std::move(hooks)),
       m_members(m_options.self, m_hooks.random),
-      m_sync(m_config, m_members, m_hooks.table, m_hooks.send,
-             m_hooks.random),
+      m_sync(m_config, m_members, m_hooks.table, m_hooks.send, m_hooks.random),
       m_lease(m_options.self, m_hooks.table),
       m_sweeper(m_options.self.node, m_hooks.table),
       m_slots(m_lease, m_hooks.table),
@@ -51,7 +50,8 @@
                 m_hooks.send(it.first, std::move(body));
               }
             }
-          }),
+          },
+          m_hooks.random),
       m_calls(m_hooks.random() & origin_mask),
       m_local(target_options{m_options.self.service, m_options.fleet_secret,
                              m_options.most_in_flight,
@@ -67,10 +67,9 @@
                                  m_hooks.random},
               m_clock),
       m_agent(fleet_agent::parts{m_options.self, m_config, m_sync, m_members,
-                                 m_lease, m_sweeper, m_slots, m_owner,
-                                 m_shares, m_crashes, m_entry.counts(),
-                                 m_hooks.table, m_hooks.send, m_hooks.random,
-                                 m_hooks.log},
+                                 m_lease, m_sweeper, m_slots, m_owner, m_shares,
+                                 m_crashes, m_entry.counts(), m_hooks.table,
+                                 m_hooks.send, m_hooks.random, m_hooks.log},
               m_clock) {}
 
 void node::tick() {
@@ -155,9 +154,7 @@
   m_calls.on_unsent(correlation);
 }
 
-void node::on_peer_lost(const std::string& peer) {
-  m_calls.on_peer_lost(peer);
-}
+void node::on_peer_lost(const std::string& peer) { m_calls.on_peer_lost(peer); }
 
 void node::on_target_result(std::uint64_t run, target_result result) {
   m_local.on_result(run, std::move(result));
@@ -188,8 +185,7 @@
   const std::string key = request.key;
   const std::string value = request.value;
   const write_handler then = std::move(handler);
-  const write_handler noted = [this, key, value,
-                               then](const write_result& r) {
+  const write_handler noted = [this, key, value, then](const write_result& r) {
     if (r.status == write_status::accepted) {
       m_sync.on_written({key, value, r.sequence}, m_clock.now);
       m_hooks.log(event_id::config_written,
@@ -304,8 +300,8 @@
                           const wire::report_pullT& m) {
   wire::report_rowsT rows;
   rows.correlation = m.correlation;
-  rows.node = m_options.self.node + "#" +
-              std::to_string(m_options.self.incarnation);
+  rows.node =
+      m_options.self.node + "#" + std::to_string(m_options.self.incarnation);
   rows.rows = counts().to_json();
   wire::payloadUnion body;
   body.Set(std::move(rows));
@@ -376,9 +372,8 @@
   if (!withdrawn.empty()) {
     m_local.refuse_keys(withdrawn);
   }
-  m_local.set_out(
-      m_config.target_out(m_options.self.node) ||
-      m_config.data_centre_out(m_options.self.data_centre));
+  m_local.set_out(m_config.target_out(m_options.self.node) ||
+                  m_config.data_centre_out(m_options.self.data_centre));
   if (m_config.sequence() != m_logged_sequence) {
     m_logged_sequence = m_config.sequence();
     m_hooks.log(event_id::config_applied,
--- a/src/kingcupslip/core/node.hpp
+++ b/src/kingcupslip/core/node.hpp
@@ -100,8 +100,7 @@
   void on_report_pull(const std::string& from, const wire::report_pullT& m);
   void on_report_rows(const std::string& from, const wire::report_rowsT& m);
   void finish_report(std::uint64_t id);
-  void send_reply(const std::string& to, std::uint64_t correlation,
-                  outcome o);
+  void send_reply(const std::string& to, std::uint64_t correlation, outcome o);
   void tick_drain();
   void tick_config();
 
--- a/src/kingcupslip/core/outcome.hpp
+++ b/src/kingcupslip/core/outcome.hpp
@@ -33,9 +33,9 @@
 };
 
 /// A refusal with the reason's own status.
-inline outcome refusal(reason why, verdict ran = verdict::not_run,
-                       std::chrono::milliseconds retry_after =
-                           std::chrono::milliseconds(0)) {
+inline outcome
+refusal(reason why, verdict ran = verdict::not_run,
+        std::chrono::milliseconds retry_after = std::chrono::milliseconds(0)) {
   outcome out;
   out.ran = ran;
   out.why = why;
--- a/src/kingcupslip/core/owner_stage.cpp
+++ b/src/kingcupslip/core/owner_stage.cpp
@@ -35,8 +35,8 @@
   }
   const std::string team = request.team;
   const std::string key = request.idempotency_key;
-  std::optional<outcome> known = m_memory.begin(
-      team, key, request.digest, held->complete_since, m_clock);
+  std::optional<outcome> known =
+      m_memory.begin(team, key, request.digest, held->complete_since, m_clock);
   if (known) {
     handler(std::move(*known));
     return nullptr;
@@ -61,8 +61,7 @@
   return job;
 }
 
-wire::slot_handoverT owner_stage::pack(std::uint32_t slot,
-                                       std::uint64_t epoch,
+wire::slot_handoverT owner_stage::pack(std::uint32_t slot, std::uint64_t epoch,
                                        wall_time complete_since) {
   wire::slot_handoverT out;
   out.slot = slot;
@@ -85,8 +84,7 @@
     e->status = answer.status;
     const duration age =
         it.running ? duration(0) : m_clock.now - it.finished_at;
-    e->age_ms =
-        static_cast<std::uint32_t>(age / std::chrono::milliseconds(1));
+    e->age_ms = static_cast<std::uint32_t>(age / std::chrono::milliseconds(1));
     e->headers = to_wire(answer.headers);
     e->body = answer.body;
     out.entries.push_back(std::move(e));
--- a/src/kingcupslip/core/pending_calls.cpp
+++ b/src/kingcupslip/core/pending_calls.cpp
@@ -49,11 +49,9 @@
 }
 
 void pending_calls::expire(instant now) {
-  end_all(
-      [now](std::uint64_t, const pending& p) {
-        return p.deadline + reply_grace < now;
-      },
-      refusal(reason::deadline, verdict::may_have_run));
+  end_all([now](std::uint64_t,
+                const pending& p) { return p.deadline + reply_grace < now; },
+          refusal(reason::deadline, verdict::may_have_run));
 }
 
 template <class Predicate>
--- a/src/kingcupslip/core/quarantine.cpp
+++ b/src/kingcupslip/core/quarantine.cpp
@@ -93,12 +93,12 @@
   if (m_entries.size() < most_entries) {
     return;
   }
-  const auto oldest = std::min_element(
-      m_entries.begin(), m_entries.end(),
-      [](const std::pair<const std::uint64_t, entry>& a,
-         const std::pair<const std::uint64_t, entry>& b) {
-        return a.second.expires < b.second.expires;
-      });
+  const auto oldest =
+      std::min_element(m_entries.begin(), m_entries.end(),
+                       [](const std::pair<const std::uint64_t, entry>& a,
+                          const std::pair<const std::uint64_t, entry>& b) {
+                         return a.second.expires < b.second.expires;
+                       });
   m_entries.erase(oldest);
 }
 
--- /dev/null
+++ b/src/kingcupslip/core/rate_gate.cpp
@@ -0,0 +1,73 @@
+// Lines in front of the teams' buckets.
+#include "kingcupslip/core/rate_gate.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr duration longest_wait = std::chrono::milliseconds(250);
+/// No request spends more than this part of its time in line.
+constexpr int part_of_time_left = 4;
+constexpr duration wait_without_share = std::chrono::seconds(1);
+
+duration retry_after(duration expected) {
+  return expected == duration::max() ? wait_without_share : expected;
+}
+
+} // namespace
+
+rate_gate::rate_gate(share_book& shares, const clock_reading& clock)
+    : m_shares(shares), m_clock(clock) {}
+
+void rate_gate::enter(const std::string& team, instant deadline,
+                      next_step next) {
+  m_shares.count(team, m_clock.now);
+  line& l = m_lines[team];
+  if (l.empty() && m_shares.take(team, m_clock.now)) {
+    next(true, duration(0));
+    return;
+  }
+  const duration patience =
+      std::min(longest_wait, (deadline - m_clock.now) / part_of_time_left);
+  const duration expected =
+      m_shares.expected_wait(team, l.size(), m_clock.now);
+  if (expected > patience) {
+    next(false, retry_after(expected));
+    return;
+  }
+  l.push_back({m_clock.now + patience, std::move(next)});
+}
+
+void rate_gate::tick() {
+  for (std::pair<const std::string, line>& it : m_lines) {
+    advance(it.first, it.second);
+  }
+}
+
+std::size_t rate_gate::waiting() const {
+  std::size_t n = 0;
+  for (const std::pair<const std::string, line>& it : m_lines) {
+    n += it.second.size();
+  }
+  return n;
+}
+
+void rate_gate::advance(const std::string& team, line& l) {
+  while (!l.empty()) {
+    const bool passed = m_shares.take(team, m_clock.now);
+    if (!passed && m_clock.now < l.front().give_up_at) {
+      return;
+    }
+    const next_step next = std::move(l.front().next);
+    l.pop_front();
+    const duration expected =
+        passed ? duration(0)
+               : m_shares.expected_wait(team, l.size(), m_clock.now);
+    next(passed, retry_after(expected));
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/rate_gate.hpp
@@ -0,0 +1,48 @@
+// Lets requests in at their team's rate; a short wait comes before refusal.
+#ifndef KINGCUPSLIP_CORE_RATE_GATE_HPP
+#define KINGCUPSLIP_CORE_RATE_GATE_HPP
+
+#include "kingcupslip/core/share_book.hpp"
+#include "kingcupslip/core/time.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace kingcupslip {
+
+/// A team's rate is split over nodes in small shares, so a node's own share
+/// may be out for a moment while the team is well within its rate. Requests
+/// wait in line for the next token where it is surely near.
+///
+/// Invariant: each request counts once and takes exactly one token to pass.
+class rate_gate {
+public:
+  /// `passed`: the request has its token. Otherwise it is over the rate, and
+  /// `retry_after` says when a token should be there.
+  using next_step = std::function<void(bool passed, duration retry_after)>;
+
+  rate_gate(share_book& shares, const clock_reading& clock);
+
+  void enter(const std::string& team, instant deadline, next_step next);
+  void tick();
+  std::size_t waiting() const;
+
+private:
+  struct waiting_request {
+    instant give_up_at{0};
+    next_step next;
+  };
+  using line = std::deque<waiting_request>;
+  void advance(const std::string& team, line& l);
+
+  share_book& m_shares;
+  const clock_reading& m_clock;
+  std::map<std::string, line> m_lines;
+};
+
+} // namespace kingcupslip
+
+#endif
--- a/src/kingcupslip/core/reason.cpp
+++ b/src/kingcupslip/core/reason.cpp
@@ -37,8 +37,8 @@
     {"target_refused", "the target shed the request", 503, true, true, true},
     {"connection_lost", "the connection to the target was lost", 502, false,
      true, false},
-    {"duplicate_running", "the same request is still running", 409, true,
-     false, false},
+    {"duplicate_running", "the same request is still running", 409, true, false,
+     false},
     {"key_reused", "the idempotency key came with another body", 422, false,
      false, false},
     {"outcome_unknown", "an earlier attempt may have run", 409, false, false,
@@ -54,8 +54,8 @@
      false},
     {"too_slow", "the request did not arrive in time", 408, false, false,
      false},
-    {"too_many_connections", "too many connections are open", 503, true,
-     false, false},
+    {"too_many_connections", "too many connections are open", 503, true, false,
+     false},
 }};
 
 } // namespace
--- a/src/kingcupslip/core/retry_ratio.cpp
+++ b/src/kingcupslip/core/retry_ratio.cpp
@@ -56,8 +56,7 @@
 duration retry_delay(std::uint32_t n,
                      const std::function<std::uint64_t()>& random) {
   const std::uint32_t doublings = std::min(n, most_doublings);
-  const duration most =
-      std::min(longest_delay, base_delay * (1 << doublings));
+  const duration most = std::min(longest_delay, base_delay * (1 << doublings));
   return duration(static_cast<duration::rep>(
       random() % static_cast<std::uint64_t>(most.count())));
 }
--- a/src/kingcupslip/core/share_book.cpp
+++ b/src/kingcupslip/core/share_book.cpp
@@ -9,47 +9,87 @@
 
 namespace {
 
-constexpr double smoothing = 0.5;
+constexpr double smoothing = 1;
 constexpr double head_room = 1.25;
 constexpr duration measure_span = std::chrono::milliseconds(500);
-constexpr duration settle_spacing = std::chrono::milliseconds(700);
-/// A team that asked nothing here for this long gives its share back.
-constexpr duration idle_span = std::chrono::seconds(30);
+constexpr duration least_spacing = std::chrono::milliseconds(100);
+constexpr duration most_spacing = std::chrono::milliseconds(1600);
+/// A team that asked nothing for as long as several requests should have
+/// taken wants no share any more; what is held stays until a node wants it.
+constexpr double quiet_requests = 8;
+constexpr double least_quiet_s = 0.2;
+constexpr double most_quiet_s = 2;
+/// A holder that got a hint has given up its part by then.
+constexpr duration after_hint = std::chrono::milliseconds(40);
+constexpr duration conflict_slot = std::chrono::milliseconds(5);
+constexpr std::uint32_t most_conflicts_counted = 6;
+constexpr double first_share_per_s = 20;
+constexpr double largest_first_share = 0.25;
 constexpr double us_per_s = 1e6;
-constexpr std::chrono::seconds wait_without_share{1};
+/// Reading the row, writing it, and perhaps once more after a hint.
+constexpr duration first_share_wait = std::chrono::milliseconds(150);
+constexpr std::size_t most_waiting_for_share = 64;
 
 std::string row_key(const std::string& team) { return "share/" + team; }
 
 } // namespace
 
 share_book::share_book(const lease_holder& lease, table_hooks table,
-                       contract_source contracts, hint_sender hint)
+                       contract_source contracts, hint_sender hint,
+                       random_source random)
     : m_lease(lease), m_table(std::move(table)),
-      m_contracts(std::move(contracts)), m_hint(std::move(hint)) {}
+      m_contracts(std::move(contracts)), m_hint(std::move(hint)),
+      m_random(std::move(random)) {}
 
-bool share_book::admit(const std::string& team, instant now, duration& wait) {
+void share_book::count(const std::string& team, instant now) {
   team_share& s = m_teams[team];
   ++s.asked;
   s.asked_at = now;
+}
+
+bool share_book::take(const std::string& team, instant now) {
+  team_share& s = m_teams[team];
   apply(team, s, now);
-  if (s.bucket.take(now)) {
-    return true;
+  const bool taken = s.bucket.take(now);
+  s.short_of += taken ? 0 : 1;
+  return taken;
+}
+
+duration share_book::expected_wait(const std::string& team, std::size_t ahead,
+                                   instant now) {
+  team_share& s = m_teams[team];
+  if (s.held == 0) {
+    const bool coming =
+        m_lease.holds(now) && !m_returned && ahead < most_waiting_for_share;
+    return coming ? first_share_wait : duration::max();
+  }
+  const duration first = s.bucket.until_token(now);
+  if (first == duration::max() || s.bucket.rate_per_s() <= 0) {
+    return duration::max();
   }
-  ++s.refused;
-  const duration until = s.bucket.until_token(now);
-  wait = until == duration::max() ? duration(wait_without_share) : until;
-  return false;
+  const double more_us =
+      static_cast<double>(ahead) / s.bucket.rate_per_s() * us_per_s;
+  return first + duration(static_cast<duration::rep>(more_us));
 }
 
 void share_book::tick(instant now) {
-  if (m_returned || now - m_ticked_at < measure_span) {
+  m_now = now;
+  if (m_returned) {
     return;
   }
   const duration span = now - m_ticked_at;
-  m_ticked_at = now;
+  if (span >= measure_span) {
+    m_ticked_at = now;
+    for (std::pair<const std::string, team_share>& it : m_teams) {
+      measure(it.second, span);
+    }
+  }
+  settle_where_needed(now);
+}
+
+void share_book::settle_where_needed(instant now) {
   for (std::pair<const std::string, team_share>& it : m_teams) {
     team_share& s = it.second;
-    measure(s, span);
     apply(it.first, s, now);
     const contract* c = m_contracts(it.first);
     if (c == nullptr || s.busy || now < s.settle_at) {
@@ -66,6 +106,7 @@
   if (it == m_teams.end() || m_returned) {
     return;
   }
+  it->second.hinted = true;
   if (!it->second.busy) {
     settle(team, now);
   }
@@ -106,24 +147,36 @@
   s.asked = 0;
 }
 
+bool share_book::quiet(const team_share& s, instant now) {
+  const double expected_s =
+      quiet_requests / std::max(s.asked_per_s, quiet_requests / most_quiet_s);
+  const double quiet_s = std::max(least_quiet_s, expected_s);
+  return static_cast<double>((now - s.asked_at).count()) > quiet_s * us_per_s;
+}
+
 std::uint32_t share_book::wanted(const team_share& s, const contract& c,
                                  instant now) const {
-  if (m_returned || now - s.asked_at > idle_span) {
+  if (m_returned || quiet(s, now)) {
     return 0;
   }
-  // A share that holds less than one token of burst could admit nothing.
-  const double least = std::min(1.0, 2.0 / c.burst);
-  const double want = s.asked_per_s * head_room / c.rate_per_s;
+  // A share that holds less than one token of burst could admit nothing, and
+  // one that fills too slowly would keep first requests waiting.
+  const double least =
+      std::min(largest_first_share,
+               std::max(2.0 / c.burst, first_share_per_s / c.rate_per_s));
+  const double span_s = static_cast<double>(measure_span.count()) / us_per_s;
+  const double asked_per_s = std::max(s.asked_per_s, s.asked / span_s);
+  const double want = asked_per_s * head_room / c.rate_per_s;
   const double share = std::clamp(want, least, 1.0);
   return static_cast<std::uint32_t>(share * whole_share);
 }
 
-bool share_book::needs_settling(const team_share& s,
-                                std::uint32_t want) const {
-  const bool starving = s.held < want && (s.refused > 0 || s.held == 0);
-  const bool idle = want == 0 && s.held > 0;
+bool share_book::needs_settling(const team_share& s, std::uint32_t want) const {
+  const bool starving = s.held < want && (s.short_of > 0 || s.held == 0);
   const bool wants_more = want > s.told_wanted + s.told_wanted / 4;
-  return idle || ((starving || wants_more) && want > 0);
+  // Others reckon with what the row says this node wants.
+  const bool wants_less = want < s.told_wanted / 2;
+  return wants_less || (want > 0 && (starving || wants_more));
 }
 
 void share_book::apply(const std::string& team, team_share& s, instant now) {
@@ -149,24 +202,26 @@
     return;
   }
   s.busy = true;
-  s.settle_at = now + settle_spacing;
+  s.spacing = std::clamp(s.spacing * 2, least_spacing, most_spacing);
+  s.settle_at = now + s.spacing;
   const std::string key = row_key(team);
-  m_table.read({key, "", 1}, [this, team, key,
-                              now](table_status status,
-                                   const std::vector<table_row>& rows) {
-    if (status != table_status::ok) {
-      m_teams[team].busy = false;
-      return;
-    }
-    const bool there = !rows.empty() && rows.front().key == key;
-    on_row(team, there ? rows.front().version : 0,
-           there ? parse_share_row(rows.front().value) : share_row{}, now);
-  });
+  m_table.read(
+      {key, "", 1}, [this, team, key, now](table_status status,
+                                           const std::vector<table_row>& rows) {
+        if (status != table_status::ok) {
+          m_teams[team].busy = false;
+          return;
+        }
+        const bool there = !rows.empty() && rows.front().key == key;
+        on_row(team, there ? rows.front().version : 0,
+               there ? parse_share_row(rows.front().value) : share_row{}, now);
+      });
 }
 
 void share_book::on_row(const std::string& team, std::uint64_t version,
                         share_row row, instant began) {
   team_share& s = m_teams[team];
+  const std::string before = to_json(row);
   const contract* c = m_contracts(team);
   const std::uint32_t want = c == nullptr ? 0 : wanted(s, *c, began);
   if (row.find(m_lease.id()) == nullptr) {
@@ -183,49 +238,76 @@
       static_cast<std::size_t>(&mine - row.entries.data());
   const std::uint32_t others = row.total_held() - on_record;
   const std::uint32_t room = whole_share - std::min(whole_share, others);
-  const std::uint32_t target =
-      m_returned ? 0 : std::min(due[index], room);
+  // What nobody asks for stays where it was wanted last.
+  const std::uint32_t fair =
+      want == 0 && !s.hinted ? std::min(s.held, on_record) : due[index];
+  const std::uint32_t target = m_returned ? 0 : std::min(fair, room);
   // Giving up comes first, here and now; the table learns of it after.
   s.held = std::min({s.held, target, on_record});
   apply(team, s, began);
   mine.held = target;
+  std::vector<std::string> in_the_way;
   if (target < due[index]) {
     for (std::size_t i = 0; i < row.entries.size(); ++i) {
       const share_entry& it = row.entries[i];
       if (i != index && it.held > due[i]) {
-        m_hint(it.lease, team);
+        in_the_way.push_back(it.lease);
       }
     }
     reclaim(team, row);
   }
   if (want == 0 && target == 0) {
-    row.entries.erase(row.entries.begin() +
-                      static_cast<std::ptrdiff_t>(index));
+    row.entries.erase(row.entries.begin() + static_cast<std::ptrdiff_t>(index));
   }
-  s.refused = 0;
-  commit(team, version, row, target);
+  s.short_of = 0;
+  s.hinted = false;
   s.told_wanted = want;
+  if (to_json(row) == before) {
+    s.held = target;
+    s.busy = false;
+    for (const std::string& it : in_the_way) {
+      m_hint(it, team);
+    }
+    return;
+  }
+  commit(team, version, row, target, in_the_way);
 }
 
 void share_book::commit(const std::string& team, std::uint64_t version,
-                        const share_row& row, std::uint32_t held_after) {
+                        const share_row& row, std::uint32_t held_after,
+                        const std::vector<std::string>& in_the_way) {
   const std::string lease = m_lease.id();
-  table_transaction writes{
-      {row_key(team), version, to_json(row), false},
-      {lease, m_lease.version(), std::nullopt, true}};
-  m_table.commit(std::move(writes),
-                 [this, team, lease, held_after](table_status status,
-                                                 std::uint64_t) {
-                   team_share& s = m_teams[team];
-                   s.busy = false;
-                   const bool recorded = status == table_status::ok &&
-                                         lease == m_lease.id();
-                   if (recorded) {
-                     s.held = held_after;
-                   } else {
-                     s.told_wanted = 0;
-                   }
-                 });
+  table_transaction writes{{row_key(team), version, to_json(row), false},
+                           {lease, m_lease.version(), std::nullopt, true}};
+  m_table.commit(std::move(writes), [this, team, lease, held_after, in_the_way](
+                                        table_status status, std::uint64_t) {
+    team_share& s = m_teams[team];
+    s.busy = false;
+    if (status != table_status::ok || lease != m_lease.id()) {
+      s.told_wanted = 0;
+      if (status == table_status::conflict) {
+        after_conflict(s);
+      }
+      return;
+    }
+    s.conflicts = 0;
+    s.spacing = held_after > s.held ? duration(0) : s.spacing;
+    s.held = held_after;
+    // Only now does the row say what this node wants: a holder that
+    // looked earlier would see no reason to give anything up.
+    for (const std::string& it : in_the_way) {
+      m_hint(it, team);
+      s.settle_at = m_now + after_hint;
+    }
+  });
+}
+
+void share_book::after_conflict(team_share& s) {
+  // Others are settling the same row: once more, soon but not together.
+  s.conflicts = std::min(s.conflicts + 1, most_conflicts_counted);
+  const std::uint64_t slots = 1ULL << s.conflicts;
+  s.settle_at =
+      m_now + conflict_slot * static_cast<int>(1 + m_random() % slots);
 }
 
 void share_book::reclaim(const std::string& team, const share_row& row) {
@@ -251,14 +333,12 @@
   if (there && !parse_lease(lease_rows.front().value).fenced) {
     return;
   }
-  const std::uint64_t lease_version =
-      there ? lease_rows.front().version : 0;
+  const std::uint64_t lease_version = there ? lease_rows.front().version : 0;
   const std::string key = row_key(team);
   m_table.read({key, "", 1}, [this, key, lease, there, lease_version](
                                  table_status status,
                                  const std::vector<table_row>& rows) {
-    if (status != table_status::ok || rows.empty() ||
-        rows.front().key != key) {
+    if (status != table_status::ok || rows.empty() || rows.front().key != key) {
       return;
     }
     share_row row = parse_share_row(rows.front().value);
--- a/src/kingcupslip/core/share_book.hpp
+++ b/src/kingcupslip/core/share_book.hpp
@@ -28,11 +28,22 @@
   using hint_sender =
       std::function<void(const std::string& lease, const std::string& team)>;
 
+  using random_source = std::function<std::uint64_t()>;
+
   share_book(const lease_holder& lease, table_hooks table,
-             contract_source contracts, hint_sender hint);
+             contract_source contracts, hint_sender hint, random_source random);
+
+  /// Counts one request as demand; each request once.
+  void count(const std::string& team, instant now);
+
+  /// Takes a token for a counted request.
+  bool take(const std::string& team, instant now);
 
-  /// Counts the demand and takes a token. `wait` is when to come back.
-  bool admit(const std::string& team, instant now, duration& wait);
+  /// When a token should be there for a request that comes after `ahead`
+  /// others: from the share held, or from one that is being asked for.
+  /// `duration::max()` where none is in sight.
+  duration expected_wait(const std::string& team, std::size_t ahead,
+                         instant now);
 
   /// Follows the lease, measures demand and settles rows that need it.
   void tick(instant now);
@@ -55,14 +66,19 @@
     std::uint32_t held = 0;
     double asked_per_s = 0; ///< smoothed
     std::uint32_t asked = 0;
-    std::uint32_t refused = 0;
+    std::uint32_t short_of = 0;    ///< requests that found no token
     std::uint32_t told_wanted = 0; ///< as the row has it
     instant asked_at{0};
-    instant settle_at{0}; ///< not before; spaces out table calls
+    instant settle_at{0};        ///< not before; spaces out table calls
+    duration spacing{0};         ///< grows while settling gains nothing
+    std::uint32_t conflicts = 0; ///< in a row
+    bool hinted = false;         ///< another node wants a part
     bool busy = false;
   };
 
   void measure(team_share& s, duration span) const;
+  void settle_where_needed(instant now);
+  static bool quiet(const team_share& s, instant now);
   std::uint32_t wanted(const team_share& s, const contract& c,
                        instant now) const;
   bool needs_settling(const team_share& s, std::uint32_t want) const;
@@ -79,12 +95,16 @@
   static bool take_back(share_row& row, const std::string& lease,
                         bool floor_stays);
   void commit(const std::string& team, std::uint64_t version,
-              const share_row& row, std::uint32_t held_after);
+              const share_row& row, std::uint32_t held_after,
+              const std::vector<std::string>& in_the_way);
+  void after_conflict(team_share& s);
 
   const lease_holder& m_lease;
   table_hooks m_table;
   contract_source m_contracts;
   hint_sender m_hint;
+  random_source m_random;
+  instant m_now{0};
   std::map<std::string, team_share> m_teams;
   instant m_ticked_at{0};
   bool m_returned = false;
--- a/src/kingcupslip/core/share_row.cpp
+++ b/src/kingcupslip/core/share_row.cpp
@@ -55,8 +55,9 @@
     left -= out[open[k]];
   }
   for (std::size_t k = 0; k < open.size(); ++k) {
-    const std::uint32_t part =
+    const std::uint32_t even =
         left / static_cast<std::uint32_t>(open.size() - k);
+    const std::uint32_t part = std::min(even, row.entries[open[k]].wanted);
     out[open[k]] += part;
     left -= part;
   }
--- a/src/kingcupslip/core/share_row.hpp
+++ b/src/kingcupslip/core/share_row.hpp
@@ -31,8 +31,9 @@
 /// The part of a share that outlives its lease, until `hold_over`.
 constexpr std::uint32_t floor_of(std::uint32_t held) { return held / 2; }
 
-/// What each entry is due: max-min fair over what they want, and what is
-/// left over split evenly among those that want anything. In entry order.
+/// What each entry is due: max-min fair over what they want, and of what is
+/// left over an even part, but no more than they want once again; the rest
+/// stays free for nodes that come to need some. In entry order.
 std::vector<std::uint32_t> fair_shares(const share_row& row);
 
 std::string to_json(const share_row& row);
--- a/src/kingcupslip/core/slot_owner.cpp
+++ b/src/kingcupslip/core/slot_owner.cpp
@@ -119,9 +119,9 @@
       continue;
     }
     const std::string key = row_key(slot);
-    const auto it = std::find_if(
-        rows.begin(), rows.end(),
-        [&key](const table_row& row) { return row.key == key; });
+    const auto it =
+        std::find_if(rows.begin(), rows.end(),
+                     [&key](const table_row& row) { return row.key == key; });
     if (it == rows.end()) {
       // Never owned before: this memory is complete from the beginning.
       write(slot, 0, slot_record{m_lease.id(), 1, wall_time(0)}, {});
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -38,8 +38,8 @@
 
 target_stage::target_stage(target_options options, target_hooks hooks,
                            const clock_reading& clock, quarantine& crashes)
-    : m_options(std::move(options)), m_hooks(std::move(hooks)),
-      m_clock(clock), m_crashes(crashes), m_limit(m_options.most_in_flight) {}
+    : m_options(std::move(options)), m_hooks(std::move(hooks)), m_clock(clock),
+      m_crashes(crashes), m_limit(m_options.most_in_flight) {}
 
 std::uint64_t target_stage::submit(wire::callT request, instant deadline,
                                    outcome_handler handler) {
@@ -158,9 +158,8 @@
   return true;
 }
 
-std::optional<reason>
-target_stage::refuse_at_once(const wire::callT& request,
-                             instant deadline) const {
+std::optional<reason> target_stage::refuse_at_once(const wire::callT& request,
+                                                   instant deadline) const {
   if (m_draining || m_target_draining || m_out) {
     return reason::draining;
   }
@@ -189,14 +188,12 @@
 
 void target_stage::start_waiting() {
   std::vector<shed_request> gone;
-  const std::size_t limit = m_options.plain_forwarding
-                                ? m_options.most_in_flight
-                                : m_limit.limit();
+  const std::size_t limit =
+      m_options.plain_forwarding ? m_options.most_in_flight : m_limit.limit();
   while (m_ready && m_runs.size() < limit && m_queue.size() > 0) {
     const duration service =
         m_options.plain_forwarding ? duration(0) : m_limit.floor_latency();
-    std::optional<waiting_request> w =
-        m_queue.take(m_clock.now, service, gone);
+    std::optional<waiting_request> w = m_queue.take(m_clock.now, service, gone);
     if (!w) {
       break;
     }
@@ -272,16 +269,15 @@
   out.path = request.path;
   out.time_left = time_left;
   out.headers = from_wire(request.headers);
+  out.headers.push_back({std::string(header_names::context),
+                         sign_context(context, m_options.fleet_secret)});
   out.headers.push_back(
-      {std::string(header_names::context),
-       sign_context(context, m_options.fleet_secret)});
-  out.headers.push_back({std::string(header_names::timeout_ms),
-                         std::to_string(left_ms.count())});
+      {std::string(header_names::timeout_ms), std::to_string(left_ms.count())});
   out.headers.push_back(
       {std::string(header_names::request_id), std::to_string(span)});
   if (!request.idempotency_key.empty()) {
-    out.headers.push_back({std::string(header_names::idempotency_key),
-                           request.idempotency_key});
+    out.headers.push_back(
+        {std::string(header_names::idempotency_key), request.idempotency_key});
   }
   return out;
 }
--- a/src/kingcupslip/daemon/admin_listener.cpp
+++ b/src/kingcupslip/daemon/admin_listener.cpp
@@ -15,8 +15,7 @@
 
 constexpr std::size_t most_body_bytes = 256UL * 1024;
 
-std::string header_value(const rest::http_request& r,
-                         const std::string& name) {
+std::string header_value(const rest::http_request& r, const std::string& name) {
   const rest::http_headers::const_iterator it = r.headers().find(name);
   return it == r.headers().end() ? std::string() : it->second;
 }
@@ -61,9 +60,8 @@
           r.operation = header_value(request, "Operation-Id");
           r.if_match = header_value(request, "If-Match");
           boost::asio::post(m_loop, [this, request, r] {
-            m_service.handle(r, [request](const admin_answer& a) {
-              reply(request, a);
-            });
+            m_service.handle(
+                r, [request](const admin_answer& a) { reply(request, a); });
           });
         });
   }
--- a/src/kingcupslip/daemon/admin_listener.hpp
+++ b/src/kingcupslip/daemon/admin_listener.hpp
@@ -15,8 +15,7 @@
 class admin_listener {
 public:
   /// Throws where the address cannot be used.
-  admin_listener(io_loop& loop, admin_service& service,
-                 const std::string& url);
+  admin_listener(io_loop& loop, admin_service& service, const std::string& url);
   ~admin_listener();
 
 private:
--- a/src/kingcupslip/daemon/admin_service.cpp
+++ b/src/kingcupslip/daemon/admin_service.cpp
@@ -153,9 +153,8 @@
   if (r.method == "GET") {
     json list = json::array();
     for (const api_key& it : m_node.config().keys()) {
-      list.push_back({{"id", it.id},
-                      {"team", it.team},
-                      {"withdrawn", it.withdrawn}});
+      list.push_back(
+          {{"id", it.id}, {"team", it.team}, {"withdrawn", it.withdrawn}});
     }
     handler(answer(200, list));
   } else if (r.method == "POST" && id.empty()) {
@@ -178,10 +177,10 @@
   }
   const std::string id = "k" + random_hex(id_bytes);
   const std::string secret = "kcs_" + random_hex(secret_bytes);
-  const std::string value = json{{"team", team},
-                                 {"secret_hash", sha256_hex(secret)},
-                                 {"withdrawn", false}}
-                                .dump();
+  const std::string value = json{
+      {"team", team},
+      {"secret_hash", sha256_hex(secret)},
+      {"withdrawn", false}}.dump();
   admin_request once = r;
   // A repeated operation could not show the secret again: each issue is its
   // own, and a lost answer leaves a key that nobody has.
@@ -248,8 +247,7 @@
                        {"config_sequence", m.config_sequence}});
   }
   const double age_s =
-      static_cast<double>(m_node.sync().age(m_node.clock().now).count()) /
-      1e6;
+      static_cast<double>(m_node.sync().age(m_node.clock().now).count()) / 1e6;
   handler(answer(200, {{"node", m_node.options().self.node},
                        {"config_sequence", sequence},
                        {"config_age_s", age_s},
@@ -271,8 +269,8 @@
   change_request change;
   change.key = key;
   change.value = value;
-  change.operation = r.operation.empty() ? random_hex(id_bytes * 2)
-                                         : r.operation;
+  change.operation =
+      r.operation.empty() ? random_hex(id_bytes * 2) : r.operation;
   if (!r.if_match.empty()) {
     std::uint64_t expected = 0;
     std::from_chars(r.if_match.data(), r.if_match.data() + r.if_match.size(),
@@ -281,25 +279,25 @@
   }
   const event_sink log = m_log;
   const std::string operation = change.operation;
-  m_node.write_config(change, [handler, extra, log, key,
-                               operation](const write_result& w) {
-    if (w.status == write_status::accepted) {
-      json body = extra.empty() ? json::object() : json::parse(extra);
-      body["accepted"] = true;
-      body["sequence"] = w.sequence;
-      body["operation"] = operation;
-      log(event_id::admin_change, {{"key", key}});
-      handler(answer(200, body));
-    } else if (w.status == write_status::conflict) {
-      handler(answer(409, {{"error", "another change came first"},
-                           {"sequence", w.current.sequence},
-                           {"current", w.current.value}}));
-    } else {
-      handler(answer(503, {{"error", "the table service did not answer; "
-                                     "repeat with the same operation id"},
-                           {"operation", operation}}));
-    }
-  });
+  m_node.write_config(
+      change, [handler, extra, log, key, operation](const write_result& w) {
+        if (w.status == write_status::accepted) {
+          json body = extra.empty() ? json::object() : json::parse(extra);
+          body["accepted"] = true;
+          body["sequence"] = w.sequence;
+          body["operation"] = operation;
+          log(event_id::admin_change, {{"key", key}});
+          handler(answer(200, body));
+        } else if (w.status == write_status::conflict) {
+          handler(answer(409, {{"error", "another change came first"},
+                               {"sequence", w.current.sequence},
+                               {"current", w.current.value}}));
+        } else {
+          handler(answer(503, {{"error", "the table service did not answer; "
+                                         "repeat with the same operation id"},
+                               {"operation", operation}}));
+        }
+      });
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/daemon/event_log.cpp
+++ b/src/kingcupslip/daemon/event_log.cpp
@@ -47,8 +47,9 @@
       std::make_shared<spdlog::logger>(
           "events", std::make_shared<spdlog::sinks::stderr_sink_mt>());
   const bool json = format == log_format::json;
-  logger->set_pattern(json ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v)"
-                           : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
+  logger->set_pattern(json
+                          ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v)"
+                          : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
                       spdlog::pattern_time_type::utc);
   return [logger, json, node](event_id id, const event_fields& fields) {
     const event_info& info = info_of(id);
--- a/src/kingcupslip/daemon/metrics.cpp
+++ b/src/kingcupslip/daemon/metrics.cpp
@@ -39,7 +39,7 @@
 using reason_counts = std::array<std::uint64_t, reason_count>;
 
 void by_reason(std::string& out, const std::string& name, const tally& counts,
-               const reason_counts route_tally::* member) {
+               const reason_counts route_tally::*member) {
   type_line(out, name, "counter");
   for (const std::pair<const tally_key, route_tally>& it : counts.rows()) {
     const reason_counts& n = it.second.*member;
@@ -55,7 +55,7 @@
 }
 
 void by_route(std::string& out, const std::string& name, const tally& counts,
-              const std::uint64_t route_tally::* member) {
+              const std::uint64_t route_tally::*member) {
   type_line(out, name, "counter");
   for (const std::pair<const tally_key, route_tally>& it : counts.rows()) {
     sample(out, name, route_labels(it.first),
@@ -68,8 +68,7 @@
   sample(out, name, "", value);
 }
 
-void counter(std::string& out, const std::string& name,
-             std::uint64_t value) {
+void counter(std::string& out, const std::string& name, std::uint64_t value) {
   type_line(out, name, "counter");
   sample(out, name, "", static_cast<double>(value));
 }
--- a/src/kingcupslip/daemon/node_daemon.cpp
+++ b/src/kingcupslip/daemon/node_daemon.cpp
@@ -51,8 +51,7 @@
 } // namespace
 
 node_daemon::node_daemon(const node_settings& settings)
-    : m_settings(settings), m_timer(m_loop),
-      m_signals(m_loop, SIGTERM, SIGINT),
+    : m_settings(settings), m_timer(m_loop), m_signals(m_loop, SIGTERM, SIGINT),
       m_log(make_event_log(settings.log, settings.node)),
       m_table(m_loop, settings.table_url),
       m_target(m_loop, endpoint_of(settings.target)) {
@@ -60,8 +59,7 @@
   m_node = std::make_unique<node>(options, hooks());
   m_node->set_clock(read_clocks());
   peer_hooks peers;
-  peers.on_message = [this](const std::string& from,
-                            wire::payloadUnion& body) {
+  peers.on_message = [this](const std::string& from, wire::payloadUnion& body) {
     core().on_message(from, body);
   };
   peers.on_unsent = [this](std::uint64_t correlation) {
@@ -82,9 +80,7 @@
       [this](caller_request r, const answer_sender& send) {
         on_caller(std::move(r), send);
       },
-      [this](std::uint64_t connection) {
-        core().on_caller_gone(connection);
-      });
+      [this](std::uint64_t connection) { core().on_caller_gone(connection); });
   m_announcements = std::make_unique<http_server>(
       m_loop, settings.announcements.ip, settings.announcements.port,
       settings.limits,
@@ -94,8 +90,8 @@
       nullptr);
   m_admin =
       std::make_unique<admin_service>(*m_node, settings.operator_token, m_log);
-  m_admin_listener = std::make_unique<admin_listener>(
-      m_loop, *m_admin, url_of(settings.admin));
+  m_admin_listener = std::make_unique<admin_listener>(m_loop, *m_admin,
+                                                      url_of(settings.admin));
   for (const seed_node& it : settings.seeds) {
     m_node->add_seed(it.node, it.address);
   }
@@ -104,9 +100,8 @@
 node_daemon::~node_daemon() = default;
 
 void node_daemon::run() {
-  m_log(event_id::node_started,
-        {{"data_centre", m_settings.data_centre},
-         {"service", m_settings.service}});
+  m_log(event_id::node_started, {{"data_centre", m_settings.data_centre},
+                                 {"service", m_settings.service}});
   wait_for_signal();
   tick();
   m_loop.run();
@@ -120,8 +115,7 @@
   out.self.service = s.service;
   out.self.address = s.peers.ip + ":" + std::to_string(s.peers.port);
   out.self.admin_url = url_of(s.admin);
-  out.self.incarnation =
-      static_cast<std::uint64_t>(read_clocks().wall.count());
+  out.self.incarnation = static_cast<std::uint64_t>(read_clocks().wall.count());
   out.fleet_secret = s.fleet_secret;
   out.most_in_flight = s.most_in_flight;
   out.drain_limit = s.drain_limit;
@@ -169,8 +163,7 @@
   return *m_node;
 }
 
-void node_daemon::on_caller(caller_request request,
-                            const answer_sender& send) {
+void node_daemon::on_caller(caller_request request, const answer_sender& send) {
   if (answer_own_path(request, send)) {
     return;
   }
@@ -193,8 +186,7 @@
   } else if (request.target == "/-/metrics") {
     core();
     send(plain_answer(200, "text/plain; version=0.0.4",
-                      render_metrics(*m_node, *m_peers, m_table,
-                                     m_latencies)));
+                      render_metrics(*m_node, *m_peers, m_table, m_latencies)));
   } else {
     send(refusal(reason::unknown_service));
   }
@@ -205,9 +197,8 @@
                                   const answer_sender& send) {
   const nlohmann::json body =
       nlohmann::json::parse(request.body, nullptr, false);
-  const bool good = request.method == "POST" &&
-                    request.target == "/announce" && body.is_object() &&
-                    body.contains("instance") &&
+  const bool good = request.method == "POST" && request.target == "/announce" &&
+                    body.is_object() && body.contains("instance") &&
                     body["instance"].is_string();
   if (!good) {
     send(refusal(reason::malformed));
--- a/src/kingcupslip/daemon/settings.cpp
+++ b/src/kingcupslip/daemon/settings.cpp
@@ -44,13 +44,11 @@
 class map_reader {
 public:
   map_reader(YAML::Node node, std::string where, settings_faults& faults)
-      : m_node(std::move(node)), m_where(std::move(where)),
-        m_faults(faults) {}
+      : m_node(std::move(node)), m_where(std::move(where)), m_faults(faults) {}
 
   YAML::Node child(const std::string& key) {
     m_known.insert(key);
-    return m_node.IsMap() ? m_node[key]
-                          : YAML::Node(YAML::NodeType::Undefined);
+    return m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
   }
 
   std::string text(const std::string& key, bool needed,
@@ -103,8 +101,7 @@
     std::int64_t out = 0;
     const std::string value = n.IsScalar() ? n.Scalar() : "";
     const char* end = value.data() + value.size();
-    const std::from_chars_result r =
-        std::from_chars(value.data(), end, out);
+    const std::from_chars_result r = std::from_chars(value.data(), end, out);
     const bool good = r.ec == std::errc() && r.ptr == end && !value.empty() &&
                       out >= low && out <= high;
     if (!good) {
@@ -150,8 +147,7 @@
     for (auto it = m_node.begin(); it != m_node.end(); ++it) {
       const std::string key = it->first.Scalar();
       if (m_known.count(key) == 0) {
-        m_faults.push_back(
-            {line_of(it->first), m_where + key, "no such key"});
+        m_faults.push_back({line_of(it->first), m_where + key, "no such key"});
       }
     }
   }
@@ -183,8 +179,7 @@
   }
 }
 
-void read_limits(map_reader& in, node_settings& out,
-                 settings_faults& faults) {
+void read_limits(map_reader& in, node_settings& out, settings_faults& faults) {
   map_reader limits(in.child("limits"), "limits.", faults);
   server_limits& l = out.limits;
   l.head_bytes = static_cast<std::size_t>(limits.number(
@@ -261,8 +256,8 @@
   for (const settings_fault& it : faults) {
     out += file + ":" + std::to_string(it.line) + ": ";
     out += it.key.empty() ? "" : it.key + ": ";
-    out += it.expected == "no such key" ? it.expected
-                                        : "expected " + it.expected;
+    out +=
+        it.expected == "no such key" ? it.expected : "expected " + it.expected;
     out += "\n";
   }
   return out;
--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -45,8 +45,7 @@
     m_message.method_string(request.method);
     m_message.target(request.path);
     m_message.version(11);
-    m_message.set(http::field::host,
-                  client.m_endpoint.address().to_string());
+    m_message.set(http::field::host, client.m_endpoint.address().to_string());
     for (const header& it : request.headers) {
       m_message.insert(it.name, it.value);
     }
@@ -68,16 +67,14 @@
       return;
     }
     m_socket = std::make_shared<tcp::socket>(m_client.m_loop);
-    m_socket->async_connect(m_client.m_endpoint,
-                            [self](const error_code& ec) {
-                              if (ec) {
-                                self->end({target_end::not_connected, 0, {},
-                                           {}});
-                                return;
-                              }
-                              set_socket_options(*self->m_socket);
-                              self->write();
-                            });
+    m_socket->async_connect(m_client.m_endpoint, [self](const error_code& ec) {
+      if (ec) {
+        self->end({target_end::not_connected, 0, {}, {}});
+        return;
+      }
+      set_socket_options(*self->m_socket);
+      self->write();
+    });
   }
 
   void cancel() {
@@ -112,10 +109,9 @@
     m_parser->body_limit(m_client.m_most_answer_bytes);
     m_parser->skip(m_message.method() == http::verb::head);
     const std::shared_ptr<http_exchange> self = shared_from_this();
-    http::async_read(*m_socket, m_buffer, *m_parser,
-                     [self](const error_code& ec, std::size_t) {
-                       self->on_read(ec);
-                     });
+    http::async_read(
+        *m_socket, m_buffer, *m_parser,
+        [self](const error_code& ec, std::size_t) { self->on_read(ec); });
   }
 
   void on_read(const error_code& ec) {
--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -29,11 +29,13 @@
     return reason::body_too_large;
   }
   if (ec == http::error::end_of_stream || ec == asio::error::eof ||
-      ec == asio::error::connection_reset || ec == http::error::partial_message) {
+      ec == asio::error::connection_reset ||
+      ec == http::error::partial_message) {
     return std::nullopt;
   }
   const bool parse_error =
-      ec.category() == http::make_error_code(http::error::bad_method).category();
+      ec.category() ==
+      http::make_error_code(http::error::bad_method).category();
   return parse_error ? std::optional<reason>(reason::malformed) : std::nullopt;
 }
 
@@ -44,8 +46,8 @@
 public:
   http_session(tcp::socket socket, const server_limits& limits,
                request_hook on_request, gone_hook on_gone,
-               std::shared_ptr<std::size_t> open,
-               std::shared_ptr<bool> closing, std::uint64_t id)
+               std::shared_ptr<std::size_t> open, std::shared_ptr<bool> closing,
+               std::uint64_t id)
       : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
         m_limits(limits), m_on_request(std::move(on_request)),
         m_on_gone(std::move(on_gone)), m_open(std::move(open)),
@@ -74,12 +76,11 @@
     }
     arm(m_limits.idle_time, [](http_session& s) { s.close(); });
     const std::shared_ptr<http_session> self = shared_from_this();
-    m_socket.async_wait(tcp::socket::wait_read,
-                        [self](const error_code& ec) {
-                          if (!ec) {
-                            self->read_request();
-                          }
-                        });
+    m_socket.async_wait(tcp::socket::wait_read, [self](const error_code& ec) {
+      if (!ec) {
+        self->read_request();
+      }
+    });
   }
 
   void read_request() {
@@ -143,8 +144,8 @@
       char one = 0;
       self->m_socket.non_blocking(true, ignored);
       error_code peeked;
-      self->m_socket.receive(asio::buffer(&one, 1),
-                             tcp::socket::message_peek, peeked);
+      self->m_socket.receive(asio::buffer(&one, 1), tcp::socket::message_peek,
+                             peeked);
       const bool gone = peeked && peeked != asio::error::would_block;
       if (gone && self->m_on_gone) {
         self->m_on_gone(self->m_id);
@@ -225,8 +226,7 @@
     : m_loop(loop),
       m_acceptor(loop, tcp::endpoint(asio::ip::make_address(address), port)),
       m_limits(limits), m_on_request(std::move(on_request)),
-      m_on_gone(std::move(on_gone)),
-      m_open(std::make_shared<std::size_t>(0)),
+      m_on_gone(std::move(on_gone)), m_open(std::make_shared<std::size_t>(0)),
       m_closing(std::make_shared<bool>(false)) {
   accept();
 }
@@ -245,9 +245,8 @@
       return;
     }
     if (!ec) {
-      std::make_shared<http_session>(std::move(socket), m_limits,
-                                     m_on_request, m_on_gone, m_open,
-                                     m_closing, ++m_next)
+      std::make_shared<http_session>(std::move(socket), m_limits, m_on_request,
+                                     m_on_gone, m_open, m_closing, ++m_next)
           ->start();
     }
     accept();
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -37,9 +37,8 @@
 class http_server {
 public:
   /// Throws `boost::system::system_error` where the address cannot be used.
-  http_server(io_loop& loop, const std::string& address,
-              std::uint16_t port, server_limits limits, request_hook on_request,
-              gone_hook on_gone);
+  http_server(io_loop& loop, const std::string& address, std::uint16_t port,
+              server_limits limits, request_hook on_request, gone_hook on_gone);
   ~http_server();
 
   std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
--- a/src/kingcupslip/net/peer_network.cpp
+++ b/src/kingcupslip/net/peer_network.cpp
@@ -41,8 +41,7 @@
 
 bool expects_answer(const wire::payloadUnion& body) {
   return body.type == wire::payload::call ||
-         (body.type == wire::payload::gossip &&
-          body.Asgossip()->answer_wanted);
+         (body.type == wire::payload::gossip && body.Asgossip()->answer_wanted);
 }
 
 } // namespace
@@ -61,8 +60,8 @@
   m_acceptor.close(ignored);
   const std::map<peer_session*, std::shared_ptr<peer_session>> all =
       std::move(m_all);
-  for (const std::pair<peer_session* const, std::shared_ptr<peer_session>>&
-           it : all) {
+  for (const std::pair<peer_session* const, std::shared_ptr<peer_session>>& it :
+       all) {
     it.second->close(false);
   }
 }
@@ -87,8 +86,8 @@
 void peer_network::tick() {
   const instant now = read_clocks().now;
   const std::map<peer_session*, std::shared_ptr<peer_session>> all = m_all;
-  for (const std::pair<peer_session* const, std::shared_ptr<peer_session>>&
-           it : all) {
+  for (const std::pair<peer_session* const, std::shared_ptr<peer_session>>& it :
+       all) {
     it.second->check_silence(now);
   }
 }
--- a/src/kingcupslip/net/peer_session.cpp
+++ b/src/kingcupslip/net/peer_session.cpp
@@ -33,10 +33,10 @@
       m_peer(std::move(dialled_node)) {
   const std::uint64_t n = ++network.m_next_nonce;
   const clock_reading t = read_clocks();
-  m_nonce = hmac_hex(network.m_secret,
-                     network.m_self.node + "/" + std::to_string(n) + "/" +
-                         std::to_string(t.now.count()) + "/" +
-                         std::to_string(t.wall.count()));
+  m_nonce =
+      hmac_hex(network.m_secret, network.m_self.node + "/" + std::to_string(n) +
+                                     "/" + std::to_string(t.now.count()) + "/" +
+                                     std::to_string(t.wall.count()));
   m_received_at = t.now;
 }
 
@@ -149,9 +149,8 @@
                      }
                      const std::optional<std::size_t> n =
                          frame_length(self->m_head.data());
-                     const bool fits =
-                         n && (self->m_established ||
-                               *n <= most_greeting_bytes);
+                     const bool fits = n && (self->m_established ||
+                                             *n <= most_greeting_bytes);
                      if (!fits) {
                        self->fail(event_id::frame_dropped, "length");
                        return;
@@ -163,27 +162,27 @@
 void peer_session::read_body(std::size_t n) {
   m_body.resize(n);
   const std::shared_ptr<peer_session> self = shared_from_this();
-  asio::async_read(
-      m_socket, asio::buffer(m_body),
-      [self](const error_code& ec, std::size_t) {
-        if (ec) {
-          self->close(true);
-          return;
-        }
-        self->m_network->m_counters.bytes_received +=
-            frame_head_bytes + self->m_body.size();
-        std::optional<wire::payloadUnion> body = decode_frame(self->m_body);
-        if (!body) {
-          self->fail(event_id::frame_dropped, "not a message");
-          return;
-        }
-        self->m_received_at = read_clocks().now;
-        self->m_answer_due = false;
-        self->on_frame(*body);
-        if (!self->m_closed) {
-          self->read_head();
-        }
-      });
+  asio::async_read(m_socket, asio::buffer(m_body),
+                   [self](const error_code& ec, std::size_t) {
+                     if (ec) {
+                       self->close(true);
+                       return;
+                     }
+                     self->m_network->m_counters.bytes_received +=
+                         frame_head_bytes + self->m_body.size();
+                     std::optional<wire::payloadUnion> body =
+                         decode_frame(self->m_body);
+                     if (!body) {
+                       self->fail(event_id::frame_dropped, "not a message");
+                       return;
+                     }
+                     self->m_received_at = read_clocks().now;
+                     self->m_answer_due = false;
+                     self->on_frame(*body);
+                     if (!self->m_closed) {
+                       self->read_head();
+                     }
+                   });
 }
 
 void peer_session::on_frame(wire::payloadUnion& body) {
@@ -199,8 +198,8 @@
     fail(event_id::peer_refused, "no proof of the fleet's secret");
     return;
   }
-  const bool link_ping = body.type == wire::payload::ping &&
-                         body.Asping()->lease.empty();
+  const bool link_ping =
+      body.type == wire::payload::ping && body.Asping()->lease.empty();
   if (link_ping) {
     wire::payloadUnion pong;
     pong.Set(wire::pongT{});
@@ -246,9 +245,9 @@
   // reflected.
   const std::string& dialler_nonce = m_dialled ? m_nonce : m_peer_nonce;
   const std::string& other_nonce = m_dialled ? m_peer_nonce : m_nonce;
-  return hmac_hex(m_network->m_secret,
-                  "peer/" + node + (dialler ? "/dial/" : "/accept/") +
-                      dialler_nonce + "/" + other_nonce);
+  return hmac_hex(m_network->m_secret, "peer/" + node +
+                                           (dialler ? "/dial/" : "/accept/") +
+                                           dialler_nonce + "/" + other_nonce);
 }
 
 void peer_session::write_greeting(frame_bytes frame) {
--- a/src/kingcupslip/net/peer_session.hpp
+++ b/src/kingcupslip/net/peer_session.hpp
@@ -4,8 +4,8 @@
 
 #include "kingcupslip/net/peer_network.hpp"
 
-#include <boost/asio/steady_timer.hpp>
 #include <array>
+#include <boost/asio/steady_timer.hpp>
 #include <deque>
 
 namespace kingcupslip {
--- a/src/kingcupslip/net/problem.cpp
+++ b/src/kingcupslip/net/problem.cpp
@@ -42,9 +42,9 @@
     o.body.assign(text.begin(), text.end());
     o.headers.push_back({"Content-Type", "application/problem+json"});
     if (info_of(o.why).waiting_helps) {
-      const std::chrono::seconds wait = std::max(
-          std::chrono::ceil<std::chrono::seconds>(o.retry_after),
-          std::chrono::seconds(1));
+      const std::chrono::seconds wait =
+          std::max(std::chrono::ceil<std::chrono::seconds>(o.retry_after),
+                   std::chrono::seconds(1));
       o.headers.push_back({"Retry-After", std::to_string(wait.count())});
     }
   }
--- a/src/kingcupslip/net/table_client.cpp
+++ b/src/kingcupslip/net/table_client.cpp
@@ -69,8 +69,7 @@
 
   void read(const table_query& q, read_handler handler) {
     ++reads;
-    const json body{
-        {"prefix", q.prefix}, {"after", q.after}, {"most", q.most}};
+    const json body{{"prefix", q.prefix}, {"after", q.after}, {"most", q.most}};
     post("/read", body.dump(), [handler](std::optional<raw_answer> a) {
       if (!a || a->status != rest::status_codes::OK) {
         handler(table_status::unavailable, {});
@@ -116,8 +115,7 @@
 
 private:
   template <class Handler>
-  void post(const std::string& path, const std::string& body,
-            Handler handler) {
+  void post(const std::string& path, const std::string& body, Handler handler) {
     const std::shared_ptr<state> self = shared_from_this();
     rest::http_request request(rest::methods::POST);
     request.set_request_uri(path);
--- a/src/programs/kingcupslip.cpp
+++ b/src/programs/kingcupslip.cpp
@@ -86,8 +86,7 @@
       code = exit_code::bad_input;
       return;
     }
-    change("PUT", "/v1/contracts/" + parsed["team"].get<std::string>(),
-           *json);
+    change("PUT", "/v1/contracts/" + parsed["team"].get<std::string>(), *json);
   }
 };
 
@@ -130,15 +129,15 @@
 }
 
 void add_key_commands(CLI::App& app, program& p) {
-  CLI::App* group = command(app, "key", "keys of teams",
-                            "kingcupslip key list", nullptr);
+  CLI::App* group =
+      command(app, "key", "keys of teams", "kingcupslip key list", nullptr);
   group->require_subcommand(1);
-  command(*group, "issue", "make a key; its secret is shown this once",
-          "kingcupslip key issue team-a",
-          [&p] {
-            p.change("POST", "/v1/keys",
-                     nlohmann::json{{"team", p.name}}.dump());
-          })
+  command(
+      *group, "issue", "make a key; its secret is shown this once",
+      "kingcupslip key issue team-a",
+      [&p] {
+        p.change("POST", "/v1/keys", nlohmann::json{{"team", p.name}}.dump());
+      })
       ->add_option("TEAM", p.name)
       ->required();
   command(*group, "withdraw", "withdraw a key for good",
@@ -196,8 +195,7 @@
   add_mark_commands(app, p, "data-centre");
   add_mark_commands(app, p, "target");
   command(app, "status", "members and where the configuration is in force",
-          "kingcupslip status",
-          [&p] { p.get("/v1/status", status_as_table); });
+          "kingcupslip status", [&p] { p.get("/v1/status", status_as_table); });
   command(app, "report", "the closing report over the whole fleet",
           "kingcupslip report --output json",
           [&p] { p.get("/v1/report", report_as_table); });
--- a/src/programs/kingcupslipd.cpp
+++ b/src/programs/kingcupslipd.cpp
@@ -39,8 +39,7 @@
     std::cout << file << ": ok\n";
     return EXIT_SUCCESS;
   }
-  crossplat::threadpool::initialize_with_threads(
-      settings.value().pool_threads);
+  crossplat::threadpool::initialize_with_threads(settings.value().pool_threads);
   try {
     node_daemon daemon(settings.value());
     daemon.run();
--- /dev/null
+++ b/tests/core/fleet_rate_test.cpp
@@ -0,0 +1,109 @@
+// A team's rate and burst over all nodes, whatever fails.
+#include "support/golden.hpp"
+#include "support/rate_check.hpp"
+#include "support/virtual_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kingcupslip;
+using namespace std::chrono_literals;
+
+TEST_GROUP(fleet_rate) {
+  virtual_fleet f{1};
+  std::vector<instant> admitted;
+  std::uint64_t asked = 0;
+  std::uint64_t over_rate = 0;
+
+  /// Offers `per_s` requests a second, spread evenly over `through`.
+  void offer(const std::vector<std::string>& through, double per_s,
+             duration span) {
+    const duration gap(static_cast<duration::rep>(1e6 / per_s));
+    const instant end = f.time.now() + span;
+    while (f.time.now() < end) {
+      const std::string& node = through[f.random() % through.size()];
+      if (f.alive(node)) {
+        ++asked;
+        f.request(node, "/svc/list", "secret-a", "", "x",
+                  [this](const outcome& o) {
+                    over_rate += o.why == reason::over_rate ? 1 : 0;
+                    if (o.ran != verdict::not_run) {
+                      admitted.push_back(f.time.now());
+                    }
+                  });
+      }
+      f.run_for(gap);
+    }
+  }
+
+  double refused_percent() const {
+    return 100.0 * static_cast<double>(over_rate) / static_cast<double>(asked);
+  }
+};
+
+// Requests take 10 ms to be answered, which the trace shows in place of the
+// moment of admission: the same shift for each, so intervals stay as long.
+
+TEST(fleet_rate, a_greedy_team_gets_its_rate_and_no_more) {
+  build_two_data_centres(f, 4, 60, 30);
+  offer(f.names(), 600, 20s);
+  CHECK_TRUE(worst_excess(admitted, 60, 30) <= 0);
+  CHECK_COMPARE(admitted.size(), >=, 60U * 20U * 95U / 100U);
+}
+
+TEST(fleet_rate, a_team_within_its_rate_is_hardly_refused) {
+  build_two_data_centres(f, 4, 120, 60);
+  offer(f.names(), 90, 10s);
+  asked = 0;
+  over_rate = 0;
+  offer(f.names(), 90, 20s);
+  CHECK_COMPARE(refused_percent(), <, 1.0);
+  CHECK_TRUE(worst_excess(admitted, 120, 60) <= 0);
+}
+
+TEST(fleet_rate, demand_that_moves_to_another_data_centre_is_followed) {
+  build_two_data_centres(f, 3, 120, 60);
+  offer({"a1", "a2", "a3"}, 90, 10s);
+  asked = 0;
+  over_rate = 0;
+  offer({"b1", "b2"}, 90, 10s);
+  CHECK_COMPARE(refused_percent(), <, 5.0);
+  CHECK_TRUE(worst_excess(admitted, 120, 60) <= 0);
+}
+
+TEST(fleet_rate, the_bound_holds_while_nodes_die_pause_and_are_cut_off) {
+  build_two_data_centres(f, 3, 60, 30);
+  offer(f.names(), 300, 5s);
+  f.kill("a1");
+  f.pause("b1");
+  f.cut_data_centres("dc-a", "dc-b");
+  f.faults.cut_off = {"b2", "b3"};
+  offer({"a2", "a3", "b2", "b3"}, 300, 40s);
+  f.wake("b1");
+  f.revive("a1");
+  offer(f.names(), 300, 5s);
+  f.heal();
+  f.faults.cut_off.clear();
+  offer(f.names(), 300, 20s);
+  CHECK_TRUE(worst_excess(admitted, 60, 30) <= 0);
+}
+
+TEST(fleet_rate, an_outage_of_the_table_takes_no_share_away) {
+  build_two_data_centres(f, 3, 120, 60);
+  offer(f.names(), 90, 10s);
+  f.faults.down = true;
+  asked = 0;
+  over_rate = 0;
+  offer(f.names(), 90, 120s);
+  CHECK_COMPARE(refused_percent(), <, 1.0);
+  CHECK_TRUE(worst_excess(admitted, 120, 60) <= 0);
+}
+
+TEST(fleet_rate, a_lowered_rate_is_not_exceeded_in_the_changeover) {
+  build_two_data_centres(f, 3, 120, 60);
+  offer(f.names(), 300, 10s);
+  f.apply_contract("a1", simple_contract("team-a", 30, 15));
+  f.run_for(3s);
+  admitted.clear();
+  offer(f.names(), 300, 20s);
+  CHECK_TRUE(worst_excess(admitted, 30, 15) <= 0);
+}
--- a/tests/standins/table_service.cpp
+++ b/tests/standins/table_service.cpp
@@ -22,8 +22,7 @@
 public:
   explicit rate_cap(std::uint32_t per_s) : m_per_s(per_s) {}
   bool allow() {
-    const std::int64_t second =
-        read_clocks().now / std::chrono::seconds(1);
+    const std::int64_t second = read_clocks().now / std::chrono::seconds(1);
     if (second != m_second) {
       m_second = second;
       m_used = 0;
@@ -66,11 +65,12 @@
   service(io_loop& loop, std::uint16_t port, std::uint32_t reads,
           std::uint32_t writes)
       : m_loop(loop), m_reads(reads), m_writes(writes),
-        m_server(loop, "127.0.0.1", port, server_limits{},
-                 [this](const caller_request& r, const answer_sender& send) {
-                   handle(r, send);
-                 },
-                 nullptr) {}
+        m_server(
+            loop, "127.0.0.1", port, server_limits{},
+            [this](const caller_request& r, const answer_sender& send) {
+              handle(r, send);
+            },
+            nullptr) {}
 
 private:
   void handle(const caller_request& r, const answer_sender& send) {
--- a/tests/standins/table_store.hpp
+++ b/tests/standins/table_store.hpp
@@ -28,12 +28,10 @@
   }
 
   /// `version` is what the rows written got.
-  table_status commit(const table_transaction& writes,
-                      std::uint64_t& version) {
+  table_status commit(const table_transaction& writes, std::uint64_t& version) {
     for (const table_write& it : writes) {
       const auto row = m_rows.find(it.key);
-      const std::uint64_t now =
-          row == m_rows.end() ? 0 : row->second.version;
+      const std::uint64_t now = row == m_rows.end() ? 0 : row->second.version;
       if (now != it.expected_version) {
         return table_status::conflict;
       }
--- a/tests/standins/target_service.cpp
+++ b/tests/standins/target_service.cpp
@@ -63,11 +63,12 @@
         m_started(read_clocks().now), m_log(m_settings.log_file, std::ios::app),
         m_announcements(loop, local(m_settings.announce_port)),
         m_nested(loop, local(m_settings.node_port)),
-        m_server(loop, "127.0.0.1", m_settings.port, server_limits{},
-                 [this](const caller_request& r, const answer_sender& send) {
-                   on_request(r, send);
-                 },
-                 [this](std::uint64_t c) { m_gone[c] = true; }) {
+        m_server(
+            loop, "127.0.0.1", m_settings.port, server_limits{},
+            [this](const caller_request& r, const answer_sender& send) {
+              on_request(r, send);
+            },
+            [this](std::uint64_t c) { m_gone[c] = true; }) {
     announce();
   }
 
@@ -140,8 +141,7 @@
     r.body = w.request.body;
     for (const std::string_view name :
          {header_names::context, header_names::idempotency_key}) {
-      r.headers.push_back(
-          {std::string(name), header_of(w.request, name)});
+      r.headers.push_back({std::string(name), header_of(w.request, name)});
     }
     m_nested.send(++m_next, std::move(r), [this, w](const target_result& n) {
       finish(w, n.status == 200 ? 200 : 502);
@@ -176,10 +176,9 @@
   }
 
   void announce_now() {
-    const std::string text =
-        json{{"instance", m_settings.name + "/" + std::to_string(getpid())},
-             {"draining", m_draining}}
-            .dump();
+    const std::string text = json{
+        {"instance", m_settings.name + "/" + std::to_string(getpid())},
+        {"draining", m_draining}}.dump();
     target_request r;
     r.method = "POST";
     r.path = "/announce";
--- /dev/null
+++ b/tests/support/fake_target.hpp
@@ -0,0 +1,166 @@
+// A target on virtual time: slots, service time, crashes, counted runs.
+#ifndef KINGCUPSLIP_TESTS_FAKE_TARGET_HPP
+#define KINGCUPSLIP_TESTS_FAKE_TARGET_HPP
+
+#include "kingcupslip/core/target_stage.hpp"
+#include "scheduler.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kingcupslip {
+
+class fake_target {
+public:
+  using result_sink = std::function<void(std::uint64_t run, target_result)>;
+
+  struct shape {
+    std::size_t slots = 10;
+    duration service = std::chrono::milliseconds(10);
+    std::size_t most_waiting = 100'000;
+  };
+
+  fake_target(scheduler& time, shape s, result_sink sink)
+      : m_time(time), m_shape(s), m_sink(std::move(sink)) {}
+
+  void run(std::uint64_t id, target_request r) {
+    if (m_down) {
+      end(id, {target_end::not_connected, 0, {}, {}});
+      return;
+    }
+    if (m_waiting.size() >= m_shape.most_waiting) {
+      end(id, {target_end::answered,
+               503,
+               {{"Kingcupslip-Verdict", "not-run"}},
+               {}});
+      return;
+    }
+    const std::uint64_t life = m_life;
+    // Its own client gives up at the deadline, whatever the target does.
+    m_time.after(r.time_left, [this, id, life] {
+      if (life == m_life && m_open.count(id) != 0) {
+        m_open.erase(id);
+        end(id, {target_end::lost, 0, {}, {}});
+      }
+    });
+    m_open[id] = true;
+    m_waiting.push_back({id, std::move(r)});
+    start_next();
+  }
+
+  void cancel(std::uint64_t id) {
+    ++cancelled;
+    if (m_open.erase(id) != 0) {
+      end(id, {target_end::lost, 0, {}, {}});
+    }
+  }
+
+  /// Every request in flight is lost; a new instance may come up later.
+  void crash() {
+    ++m_life;
+    m_down = true;
+    m_running = 0;
+    m_waiting.clear();
+    std::map<std::uint64_t, bool> open;
+    open.swap(m_open);
+    for (const std::pair<const std::uint64_t, bool>& it : open) {
+      end(it.first, {target_end::lost, 0, {}, {}});
+    }
+  }
+  void restart() { m_down = false; }
+
+  bool down() const { return m_down; }
+  std::uint64_t life() const { return m_life; }
+  std::size_t load() const { return m_running + m_waiting.size(); }
+  shape& settings() { return m_shape; }
+
+  /// Runs per idempotency key, begun at this target.
+  std::map<std::string, int> runs;
+  std::uint64_t total_runs = 0;
+  std::vector<target_request> seen; ///< kept where `keep_seen` is set
+  bool keep_seen = false;
+  std::uint64_t cancelled = 0;
+  std::string crash_mark = "crash-this-target";
+  /// Runs while a request is served; called for nested calls. It calls the
+  /// function it is given with the status to answer.
+  std::function<void(const target_request&, std::function<void(std::uint16_t)>)>
+      serve;
+
+private:
+  struct waiting {
+    std::uint64_t id;
+    target_request request;
+  };
+
+  void start_next() {
+    while (m_running < m_shape.slots && !m_waiting.empty()) {
+      waiting w = std::move(m_waiting.front());
+      m_waiting.pop_front();
+      if (m_open.count(w.id) == 0) {
+        continue;
+      }
+      ++m_running;
+      begin(std::move(w));
+    }
+  }
+
+  void begin(waiting w) {
+    ++total_runs;
+    for (const header& it : w.request.headers) {
+      if (it.name == "Idempotency-Key") {
+        ++runs[it.value];
+      }
+    }
+    if (keep_seen) {
+      seen.push_back(w.request);
+    }
+    const std::string body(w.request.body.begin(), w.request.body.end());
+    if (body.find(crash_mark) != std::string::npos) {
+      m_time.after(std::chrono::milliseconds(1), [this] { crash(); });
+      return;
+    }
+    const std::uint64_t life = m_life;
+    const std::uint64_t id = w.id;
+    const body_bytes echo = w.request.body;
+    const std::function<void(std::uint16_t)> done =
+        [this, id, life, echo](std::uint16_t status) {
+          if (life != m_life) {
+            return;
+          }
+          --m_running;
+          if (m_open.erase(id) != 0) {
+            end(id, {target_end::answered, status, {}, echo});
+          }
+          start_next();
+        };
+    const target_request request = std::move(w.request);
+    m_time.after(m_shape.service, [this, life, done, request] {
+      if (life != m_life) {
+        return;
+      }
+      serve ? serve(request, done) : done(200);
+    });
+  }
+
+  void end(std::uint64_t id, target_result r) {
+    m_time.after(std::chrono::microseconds(100),
+                 [this, id, r] { m_sink(id, r); });
+  }
+
+  scheduler& m_time;
+  shape m_shape;
+  result_sink m_sink;
+  std::deque<waiting> m_waiting;
+  std::map<std::uint64_t, bool> m_open;
+  std::size_t m_running = 0;
+  std::uint64_t m_life = 1;
+  bool m_down = false;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/tests/support/rate_check.hpp
@@ -0,0 +1,33 @@
+// The sliding check of a team's rate and burst over a merged trace.
+#ifndef KINGCUPSLIP_TESTS_RATE_CHECK_HPP
+#define KINGCUPSLIP_TESTS_RATE_CHECK_HPP
+
+#include "kingcupslip/core/time.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace kingcupslip {
+
+/// The most by which any interval of the trace exceeds rate x length +
+/// burst; zero or less where the bound holds. Exact, in one pass: a bucket
+/// of that rate and burst that starts full and may go into debt.
+inline double worst_excess(std::vector<instant> admissions, double rate_per_s,
+                           double burst) {
+  std::sort(admissions.begin(), admissions.end());
+  double level = burst;
+  double worst = -burst;
+  instant last = admissions.empty() ? instant(0) : admissions.front();
+  for (const instant at : admissions) {
+    const double gained =
+        static_cast<double>((at - last).count()) / 1e6 * rate_per_s;
+    level = std::min(burst, level + gained) - 1;
+    last = at;
+    worst = std::max(worst, -level);
+  }
+  return worst;
+}
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/tests/support/virtual_fleet.cpp
@@ -0,0 +1,410 @@
+// The fake network, table and targets around real cores.
+#include "virtual_fleet.hpp"
+
+#include "kingcupslip/core/contract_codec.hpp"
+#include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/core/header_names.hpp"
+#include "kingcupslip/net/frame.hpp"
+
+#include <array>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr duration tick_period = std::chrono::milliseconds(10);
+constexpr duration announce_period = std::chrono::milliseconds(500);
+constexpr duration near_latency = std::chrono::microseconds(200);
+constexpr duration far_latency = std::chrono::microseconds(1500);
+constexpr duration loss_noticed = std::chrono::milliseconds(100);
+constexpr duration silence_noticed = std::chrono::seconds(3);
+constexpr wall_time wall_origin{1'790'000'000'000};
+
+} // namespace
+
+virtual_fleet::virtual_fleet(std::uint64_t seed) : random(seed) {}
+
+virtual_fleet::~virtual_fleet() = default;
+
+clock_reading virtual_fleet::clocks() const {
+  return {time.now(),
+          wall_origin + std::chrono::duration_cast<wall_time>(time.now())};
+}
+
+node& virtual_fleet::add(const std::string& name,
+                         const std::string& data_centre,
+                         const std::string& service, fake_target::shape shape,
+                         dispatcher::options dispatch) {
+  std::unique_ptr<member>& m = m_nodes[name];
+  m = std::make_unique<member>();
+  m->name = name;
+  m->data_centre = data_centre;
+  m->service = service;
+  m->shape = shape;
+  m->dispatch = dispatch;
+  m->target = std::make_unique<fake_target>(
+      time, shape, [this, name](std::uint64_t run, target_result r) {
+        const std::uint64_t life = m_nodes.at(name)->life;
+        in_node(name, life,
+                [this, name, run, r] { at(name).on_target_result(run, r); });
+      });
+  start(*m);
+  return *m->core;
+}
+
+void virtual_fleet::start(member& m) {
+  ++m.life;
+  node_options o;
+  o.self.node = m.name;
+  o.self.data_centre = m.data_centre;
+  o.self.service = m.service;
+  o.self.address = m.name;
+  o.self.incarnation = static_cast<std::uint64_t>(clocks().wall.count());
+  o.fleet_secret = "secret-of-the-fleet";
+  o.dispatch = m.dispatch;
+  m.core = std::make_unique<node>(o, hooks_for(m));
+  m.core->set_clock(clocks());
+  tick(m.name, m.life);
+  announce(m.name, m.life);
+}
+
+node_hooks virtual_fleet::hooks_for(member& m) {
+  const std::string name = m.name;
+  const std::uint64_t life = m.life;
+  node_hooks h;
+  h.send = [this, name](const std::string& to, wire::payloadUnion body) {
+    deliver(name, to, body);
+  };
+  h.target.run = [this, name](std::uint64_t run, target_request r) {
+    target(name).run(run, std::move(r));
+  };
+  h.target.cancel = [this, name](std::uint64_t run) {
+    target(name).cancel(run);
+  };
+  h.target.log = [](event_id, const event_fields&) {};
+  h.table.read = [this, name, life](table_query q, read_handler handler) {
+    ++table_reads;
+    const bool lost = faults.down || faults.cut_off.count(name) != 0;
+    time.after(faults.delay, [this, name, life, q, handler, lost] {
+      std::vector<table_row> rows = table.read(q);
+      const table_status s =
+          lost ? table_status::unavailable : table_status::ok;
+      in_node(name, life, [handler, s, rows] { handler(s, rows); });
+    });
+  };
+  h.table.commit = [this, name, life](table_transaction t,
+                                      commit_handler handler) {
+    ++table_writes;
+    const bool lost = faults.down || faults.cut_off.count(name) != 0;
+    time.after(faults.delay, [this, name, life, t, handler, lost] {
+      std::uint64_t version = 0;
+      table_status s =
+          lost ? table_status::unavailable : table.commit(t, version);
+      if (!lost && faults.lose_answers > 0) {
+        --faults.lose_answers;
+        s = table_status::unknown;
+      }
+      in_node(name, life, [handler, s, version] { handler(s, version); });
+    });
+  };
+  h.random = [this] { return random(); };
+  h.log = [this, name](event_id id, const event_fields&) {
+    events.push_back(name + " " + std::to_string(static_cast<int>(id)) + " " +
+                     std::string(info_of(id).name));
+  };
+  return h;
+}
+
+void virtual_fleet::tick(const std::string& name, std::uint64_t life) {
+  in_node(name, life, [this, name] { at(name).tick(); });
+  time.after(tick_period, [this, name, life] {
+    if (m_nodes.at(name)->life == life && alive(name)) {
+      tick(name, life);
+    }
+  });
+}
+
+void virtual_fleet::announce(const std::string& name, std::uint64_t life) {
+  if (!target(name).down()) {
+    const std::string instance = std::to_string(target(name).life());
+    in_node(name, life, [this, name, instance] {
+      at(name).on_target_announce(instance, false);
+    });
+  }
+  time.after(announce_period, [this, name, life] {
+    if (m_nodes.at(name)->life == life && alive(name)) {
+      announce(name, life);
+    }
+  });
+}
+
+void virtual_fleet::in_node(const std::string& name, std::uint64_t life,
+                            std::function<void()> work) {
+  member& m = *m_nodes.at(name);
+  if (!m.core || m.life != life) {
+    return;
+  }
+  if (m.paused) {
+    m.held_back.push_back(
+        [this, name, life, work] { in_node(name, life, work); });
+    return;
+  }
+  m.core->set_clock(clocks());
+  work();
+}
+
+void virtual_fleet::wake(const std::string& name) {
+  member& m = *m_nodes.at(name);
+  m.paused = false;
+  std::vector<std::function<void()>> work;
+  work.swap(m.held_back);
+  for (const std::function<void()>& it : work) {
+    it();
+  }
+}
+
+void virtual_fleet::kill(const std::string& name) {
+  m_nodes.at(name)->core.reset();
+  for (const std::pair<const std::string, std::unique_ptr<member>>& it :
+       m_nodes) {
+    const std::string other = it.first;
+    const std::uint64_t life = it.second->life;
+    time.after(loss_noticed, [this, other, life, name] {
+      in_node(other, life,
+              [this, other, name] { at(other).on_peer_lost(name); });
+    });
+  }
+}
+
+void virtual_fleet::revive(const std::string& name) {
+  start(*m_nodes.at(name));
+}
+
+void virtual_fleet::cut_data_centres(const std::string& a,
+                                     const std::string& b) {
+  for (const std::string& x : names()) {
+    for (const std::string& y : names()) {
+      if (m_nodes.at(x)->data_centre == a && m_nodes.at(y)->data_centre == b) {
+        cut(x, y);
+        cut(y, x);
+      }
+    }
+  }
+}
+
+void virtual_fleet::deliver(const std::string& from, const std::string& to,
+                            const wire::payloadUnion& body) {
+  const frame_bytes frame = encode_frame(body);
+  m_nodes.at(from)->bytes_sent += frame.size();
+  const auto it = m_nodes.find(to);
+  const bool gone = it == m_nodes.end() || !it->second->core;
+  const std::uint64_t sender_life = m_nodes.at(from)->life;
+  const std::uint64_t correlation =
+      body.type == wire::payload::call ? body.Ascall()->correlation : 0;
+  if (gone && correlation != 0) {
+    time.after(near_latency, [this, from, sender_life, correlation] {
+      in_node(from, sender_life, [this, from, correlation] {
+        at(from).on_call_unsent(correlation);
+      });
+    });
+  }
+  if (gone) {
+    return;
+  }
+  if (m_cut.count({from, to}) != 0) {
+    // The frame vanishes; the link is found silent and dropped.
+    time.after(silence_noticed, [this, from, to, sender_life] {
+      in_node(from, sender_life,
+              [this, from, to] { at(from).on_peer_lost(to); });
+    });
+    return;
+  }
+  const bool near = m_nodes.at(from)->data_centre == it->second->data_centre;
+  const std::uint64_t life = it->second->life;
+  const int copies = random() % 1000 < doubled_per_mille ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    duration latency = near ? near_latency : far_latency;
+    if (random() % 1000 < delayed_per_mille) {
+      latency += duration(static_cast<duration::rep>(random() % 50'000));
+    }
+    const frame_bytes payload(frame.begin() + frame_head_bytes, frame.end());
+    time.after(latency, [this, from, to, life, payload] {
+      in_node(to, life, [this, from, to, payload] {
+        std::optional<wire::payloadUnion> m = decode_frame(payload);
+        if (m) {
+          at(to).on_message(from, *m);
+        }
+      });
+    });
+  }
+}
+
+write_result virtual_fleet::write(const std::string& through,
+                                  const std::string& key,
+                                  const std::string& value) {
+  write_result out;
+  bool done = false;
+  change_request c;
+  c.key = key;
+  c.value = value;
+  c.operation = std::to_string(random());
+  at(through).write_config(c, [&](const write_result& r) {
+    out = r;
+    done = true;
+  });
+  for (int i = 0; i < 100 && !done; ++i) {
+    run_for(std::chrono::milliseconds(10));
+  }
+  return out;
+}
+
+void virtual_fleet::apply_contract(const std::string& through,
+                                   const contract& c) {
+  write(through, "contract/" + c.team, to_json(c));
+}
+
+void virtual_fleet::issue_key(const std::string& through, const std::string& id,
+                              const std::string& team,
+                              const std::string& secret, bool withdrawn) {
+  write(through, "key/" + id,
+        nlohmann::json{{"team", team},
+                       {"secret_hash", sha256_hex(secret)},
+                       {"withdrawn", withdrawn}}
+            .dump());
+}
+
+void virtual_fleet::request(const std::string& through,
+                            const std::string& target_path,
+                            const std::string& secret,
+                            const std::string& idempotency_key,
+                            const std::string& body, outcome_handler handler,
+                            std::chrono::milliseconds timeout) {
+  caller_request r;
+  r.method = "POST";
+  r.target = target_path;
+  r.body.assign(body.begin(), body.end());
+  if (!secret.empty()) {
+    r.headers.push_back({"Authorization", "Bearer " + secret});
+  }
+  if (!idempotency_key.empty()) {
+    r.headers.push_back({"Idempotency-Key", idempotency_key});
+  }
+  if (timeout.count() > 0) {
+    r.headers.push_back(
+        {"Kingcupslip-Timeout-Ms", std::to_string(timeout.count())});
+  }
+  const std::uint64_t life = m_nodes.at(through)->life;
+  in_node(through, life,
+          [this, through, r, handler] { at(through).on_request(r, handler); });
+}
+
+outcome virtual_fleet::ask(const std::string& through,
+                           const std::string& target_path,
+                           const std::string& secret,
+                           const std::string& idempotency_key,
+                           const std::string& body,
+                           std::chrono::milliseconds timeout) {
+  outcome out = refusal(reason::connection_lost, verdict::may_have_run);
+  bool done = false;
+  const std::shared_ptr<bool> still = std::make_shared<bool>(true);
+  request(
+      through, target_path, secret, idempotency_key, body,
+      [&out, &done, still](outcome o) {
+        if (*still) {
+          out = std::move(o);
+          done = true;
+        }
+      },
+      timeout);
+  for (int i = 0; i < 10'000 && !done; ++i) {
+    run_for(std::chrono::milliseconds(1));
+  }
+  *still = false;
+  return out;
+}
+
+int virtual_fleet::runs(const std::string& idempotency_key) const {
+  int n = 0;
+  for (const std::pair<const std::string, std::unique_ptr<member>>& it :
+       m_nodes) {
+    const auto found = it.second->target->runs.find(idempotency_key);
+    n += found == it.second->target->runs.end() ? 0 : found->second;
+  }
+  return n;
+}
+
+std::uint64_t virtual_fleet::total_runs() const {
+  std::uint64_t n = 0;
+  for (const std::pair<const std::string, std::unique_ptr<member>>& it :
+       m_nodes) {
+    n += it.second->target->total_runs;
+  }
+  return n;
+}
+
+std::vector<std::string> virtual_fleet::names() const {
+  std::vector<std::string> out;
+  for (const std::pair<const std::string, std::unique_ptr<member>>& it :
+       m_nodes) {
+    out.push_back(it.first);
+  }
+  return out;
+}
+
+std::string virtual_fleet::mint_key() {
+  const std::uint64_t ms = static_cast<std::uint64_t>(clocks().wall.count());
+  std::array<char, 96> buf{};
+  std::snprintf(buf.data(), buf.size(), "%08llx-%04llx-7%03llx-8%03llx-%012llx",
+                static_cast<unsigned long long>(ms >> 16U),
+                static_cast<unsigned long long>(ms & 0xffffU),
+                static_cast<unsigned long long>(random() & 0xfffU),
+                static_cast<unsigned long long>(random() & 0xfffU),
+                static_cast<unsigned long long>(random() & 0xffffffffffffULL));
+  return buf.data();
+}
+
+contract simple_contract(const std::string& team, double rate, double burst) {
+  contract c;
+  c.team = team;
+  c.rate_per_s = rate;
+  c.burst = burst;
+  route_terms book;
+  book.service = "svc";
+  book.path_prefix = "/book";
+  book.idempotent = false;
+  book.rank = priority::high;
+  route_terms list;
+  list.service = "svc";
+  list.path_prefix = "/list";
+  route_terms open;
+  open.service = "svc";
+  open.path_prefix = "/open";
+  open.open = true;
+  c.routes = {book, list, open};
+  return c;
+}
+
+void build_two_data_centres(virtual_fleet& f, std::size_t per_data_centre,
+                            double rate, double burst) {
+  for (std::size_t i = 1; i <= per_data_centre; ++i) {
+    f.add("a" + std::to_string(i), "dc-a", "svc");
+    f.add("b" + std::to_string(i), "dc-b", "svc");
+  }
+  f.run_for(std::chrono::seconds(4));
+  f.apply_contract("a1", simple_contract("team-a", rate, burst));
+  f.issue_key("a1", "key-a", "team-a", "secret-a");
+  f.run_for(std::chrono::seconds(6));
+}
+
+std::string text_of(const outcome& o) {
+  std::string out = std::to_string(o.status);
+  if (o.why != reason::none) {
+    out += " " + std::string(info_of(o.why).name);
+  }
+  return out + " " + std::string(name_of(o.ran));
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/tests/support/virtual_fleet.hpp
@@ -0,0 +1,157 @@
+// Many nodes of the real core in one process, on virtual time.
+#ifndef KINGCUPSLIP_TESTS_VIRTUAL_FLEET_HPP
+#define KINGCUPSLIP_TESTS_VIRTUAL_FLEET_HPP
+
+#include "fake_target.hpp"
+#include "scheduler.hpp"
+#include "standins/table_store.hpp"
+
+#include "kingcupslip/core/node.hpp"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kingcupslip {
+
+/// One admission, as the sliding check over the merged trace wants it.
+struct admission_mark {
+  instant at{0};
+  std::string team;
+};
+
+/// What the table does wrong.
+struct table_faults {
+  bool down = false;
+  int lose_answers = 0;
+  duration delay = std::chrono::milliseconds(2);
+  std::set<std::string> cut_off; ///< nodes that cannot reach it
+};
+
+class virtual_fleet {
+public:
+  explicit virtual_fleet(std::uint64_t seed);
+  ~virtual_fleet();
+
+  node& add(const std::string& name, const std::string& data_centre,
+            const std::string& service,
+            fake_target::shape shape = fake_target::shape{},
+            dispatcher::options dispatch = dispatcher::options{});
+
+  void run_for(duration d) { time.run_for(d); }
+
+  node& at(const std::string& name) { return *m_nodes.at(name)->core; }
+  fake_target& target(const std::string& name) {
+    return *m_nodes.at(name)->target;
+  }
+
+  /// The process dies at once; `revive` starts it anew with no memory.
+  void kill(const std::string& name);
+  void revive(const std::string& name);
+  void pause(const std::string& name) { m_nodes.at(name)->paused = true; }
+  void wake(const std::string& name);
+
+  /// Frames from one node to another vanish, until `heal`.
+  void cut(const std::string& from, const std::string& to) {
+    m_cut.insert({from, to});
+  }
+  void cut_data_centres(const std::string& a, const std::string& b);
+  void heal() { m_cut.clear(); }
+
+  /// Writes configuration as an operator would, and waits for it.
+  write_result write(const std::string& through, const std::string& key,
+                     const std::string& value);
+  void apply_contract(const std::string& through, const contract& c);
+  void issue_key(const std::string& through, const std::string& id,
+                 const std::string& team, const std::string& secret,
+                 bool withdrawn = false);
+
+  /// A caller's request.
+  void
+  request(const std::string& through, const std::string& target,
+          const std::string& secret, const std::string& idempotency_key,
+          const std::string& body, outcome_handler handler,
+          std::chrono::milliseconds timeout = std::chrono::milliseconds(0));
+
+  /// The same, and waits for the outcome.
+  outcome ask(const std::string& through, const std::string& target,
+              const std::string& secret,
+              const std::string& idempotency_key = "",
+              const std::string& body = "",
+              std::chrono::milliseconds timeout = std::chrono::milliseconds(0));
+
+  int runs(const std::string& idempotency_key) const;
+  std::uint64_t total_runs() const;
+  std::vector<std::string> names() const;
+  bool alive(const std::string& name) const {
+    return m_nodes.at(name)->core != nullptr;
+  }
+
+  /// Bytes sent between nodes, for the figures.
+  std::uint64_t bytes_sent(const std::string& name) const {
+    return m_nodes.at(name)->bytes_sent;
+  }
+
+  /// A key minted now (UUID version 7).
+  std::string mint_key();
+
+  scheduler time;
+  table_store table;
+  table_faults faults;
+  std::mt19937_64 random;
+  std::uint64_t table_reads = 0;
+  std::uint64_t table_writes = 0;
+  /// In 1,000: frames doubled and frames held back by up to 50 ms.
+  std::uint32_t doubled_per_mille = 0;
+  std::uint32_t delayed_per_mille = 0;
+  std::vector<std::string> events; ///< node, number and name of each event
+
+private:
+  struct member {
+    std::string name;
+    std::string data_centre;
+    std::string service;
+    fake_target::shape shape;
+    dispatcher::options dispatch;
+    std::unique_ptr<node> core;
+    std::unique_ptr<fake_target> target;
+    std::uint64_t life = 0;
+    bool paused = false;
+    std::vector<std::function<void()>> held_back;
+    std::uint64_t bytes_sent = 0;
+  };
+
+  void start(member& m);
+  void tick(const std::string& name, std::uint64_t life);
+  void announce(const std::string& name, std::uint64_t life);
+  /// Runs `work` in the node, now or once it wakes; never in a later life.
+  void in_node(const std::string& name, std::uint64_t life,
+               std::function<void()> work);
+  void deliver(const std::string& from, const std::string& to,
+               const wire::payloadUnion& body);
+  node_hooks hooks_for(member& m);
+  clock_reading clocks() const;
+
+  std::map<std::string, std::unique_ptr<member>> m_nodes;
+  std::set<std::pair<std::string, std::string>> m_cut;
+};
+
+/// Two routes of service `svc`: /book runs at most once, /list is
+/// idempotent; rate and burst as given.
+contract simple_contract(const std::string& team, double rate, double burst);
+
+/// Nodes a1.. of dc-a and b1.. of dc-b, settled, with contract `team-a` and
+/// its key `secret-a`.
+void build_two_data_centres(virtual_fleet& f, std::size_t per_data_centre,
+                            double rate = 100'000, double burst = 100'000);
+
+/// "200 ran" or "503 shed not-run".
+std::string text_of(const outcome& o);
+
+} // namespace kingcupslip
+
+#endif
