--- a/src/kingcupslip/core/answer_memory.cpp
+++ b/src/kingcupslip/core/answer_memory.cpp
@@ -41,6 +41,10 @@
   return true;
 }
 
+wall_time memory_life() {
+  return std::chrono::duration_cast<wall_time>(answer_memory_life);
+}
+
 /// Whether a run before `complete_since` can be ruled out.
 bool first_sent_since(std::optional<wall_time> minted, wall_time complete_since,
                       wall_time now) {
@@ -50,9 +54,16 @@
   if (minted) {
     return *minted >= complete_since + wall_clock_skew;
   }
-  const wall_time life =
-      std::chrono::duration_cast<wall_time>(answer_memory_life);
-  return now >= complete_since + life;
+  return now >= complete_since + memory_life();
+}
+
+/// Whether a key that is not remembered has surely never run.
+bool surely_new(const std::string& key, wall_time complete_since,
+                wall_time now) {
+  const std::optional<wall_time> minted = minting_time(key);
+  const bool forgotten =
+      minted && *minted + memory_life() < now + wall_clock_skew;
+  return !forgotten && first_sent_since(minted, complete_since, now);
 }
 
 } // namespace
@@ -91,11 +102,7 @@
     }
     return known.answer;
   }
-  const std::optional<wall_time> minted = minting_time(key);
-  const wall_time life =
-      std::chrono::duration_cast<wall_time>(answer_memory_life);
-  const bool forgotten = minted && *minted + life < t.wall + wall_clock_skew;
-  if (forgotten || !first_sent_since(minted, complete_since, t.wall)) {
+  if (!surely_new(key, complete_since, t.wall)) {
     return refusal(reason::outcome_unknown, verdict::may_have_run);
   }
   if (m_entries.size() >= m_most_entries || m_bytes >= m_most_bytes) {
@@ -110,6 +117,16 @@
   return std::nullopt;
 }
 
+verdict answer_memory::what_became_of(const std::string& team,
+                                      const std::string& key,
+                                      wall_time complete_since,
+                                      clock_reading t) const {
+  const bool known = m_entries.count(index_key(team, key)) != 0;
+  return !known && surely_new(key, complete_since, t.wall)
+             ? verdict::not_run
+             : verdict::may_have_run;
+}
+
 void answer_memory::finish(const std::string& team, const std::string& key,
                            const outcome& answer, instant now) {
   const auto it = m_entries.find(index_key(team, key));
--- a/src/kingcupslip/core/answer_memory.hpp
+++ b/src/kingcupslip/core/answer_memory.hpp
@@ -53,6 +53,11 @@
                                std::uint64_t digest, wall_time complete_since,
                                clock_reading t);
 
+  /// What is known of a key's request, for a refusal that comes before it
+  /// is let in. Remembers nothing.
+  verdict what_became_of(const std::string& team, const std::string& key,
+                         wall_time complete_since, clock_reading t) const;
+
   /// The request ended. `not_run` forgets it, so that a resend may run.
   void finish(const std::string& team, const std::string& key,
               const outcome& answer, instant now);
--- a/src/kingcupslip/core/entry_stage.cpp
+++ b/src/kingcupslip/core/entry_stage.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t longest_idempotency_key = 255;
 constexpr std::chrono::milliseconds longest_timeout{600'000};
 constexpr std::chrono::milliseconds start_retry_after{1000};
+/// For asking what became of a key whose request is refused anyway.
+constexpr duration peek_time = std::chrono::milliseconds(200);
 
 std::string_view value_of(const caller_request& r, std::string_view name) {
   for (const header& it : r.headers) {
@@ -120,11 +122,6 @@
   m_gate.enter(team, a.deadline,
                [this, held, service, path, counted, done,
                 deadline = a.deadline](bool passed, duration retry_after) {
-                 if (!passed) {
-                   done(refusal(reason::over_rate, verdict::not_run,
-                                to_ms_up(retry_after)));
-                   return;
-                 }
                  // Contracts and keys may have changed while it waited.
                  admission now;
                  const reason why = identify(*held, service, path, now);
@@ -133,19 +130,52 @@
                    return;
                  }
                  now.deadline = deadline;
+                 if (!passed) {
+                   refuse(std::move(*held), now, service, path, counted,
+                          refusal(reason::over_rate, verdict::not_run,
+                                  to_ms_up(retry_after)),
+                          done);
+                   return;
+                 }
                  pass(std::move(*held), now, service, path, counted, done);
                });
 }
 
+void entry_stage::refuse(caller_request request, const admission& a,
+                         const std::string& service, const std::string& path,
+                         const tally_key& counted, const outcome& o,
+                         outcome_handler done) {
+  wire::callT call = make_call(request, a, service, path);
+  if (call.idempotent || call.idempotency_key.empty()) {
+    done(o);
+    return;
+  }
+  call.peek = true;
+  call.body.clear();
+  call.headers.clear();
+  const outcome_handler with_verdict = [done, o](const outcome& known) {
+    outcome out = o;
+    out.ran = known.ran;
+    done(out);
+  };
+  const instant deadline = std::min(a.deadline, m_clock.now + peek_time);
+  ask_owner(std::make_shared<owner_call>(
+      owner_call{std::move(call), deadline, 0, counted, with_verdict, 0}));
+}
+
 void entry_stage::pass(caller_request request, const admission& a,
                        const std::string& service, const std::string& path,
                        const tally_key& counted, outcome_handler done) {
   const std::uint64_t connection = request.connection;
-  wire::callT call = make_call(request, a, service, path);
-  if (m_parts.crashes.condemned(call.digest, m_clock.now)) {
-    done(refusal(reason::quarantined));
+  const std::uint64_t digest =
+      digest_of(service, path, request.method, request.body);
+  if (m_parts.crashes.condemned(digest, m_clock.now)) {
+    refuse(std::move(request), a, service, path, counted,
+           refusal(reason::quarantined), std::move(done));
     return;
   }
+  wire::callT call = make_call(request, a, service, path);
+  call.digest = digest;
   route(std::move(call), a, connection, counted, std::move(done));
 }
 
@@ -267,7 +297,6 @@
   call.api_key_id = a.key_id;
   call.idempotency_key =
       std::string(value_of(r, header_names::idempotency_key));
-  call.digest = digest_of(service, path, r.method, r.body);
   if (a.context) {
     // Urgency travels down the chain, never up by a nested route's terms.
     call.priority = static_cast<std::uint8_t>(a.context->rank);
--- a/src/kingcupslip/core/entry_stage.hpp
+++ b/src/kingcupslip/core/entry_stage.hpp
@@ -95,6 +95,13 @@
   void set_deadline(const caller_request& r, admission& a) const;
   wire::callT make_call(caller_request& r, const admission& a,
                         const std::string& service, const std::string& path);
+  /// Refuses a request that has been identified. Where its key may have been
+  /// sent before, the owner of the key says what became of it: a refusal
+  /// must not claim that an order which ran has not.
+  void refuse(caller_request request, const admission& a,
+              const std::string& service, const std::string& path,
+              const tally_key& counted, const outcome& o,
+              outcome_handler done);
   void pass(caller_request request, const admission& a,
             const std::string& service, const std::string& path,
             const tally_key& counted, outcome_handler done);
--- a/src/kingcupslip/core/fleet_agent.cpp
+++ b/src/kingcupslip/core/fleet_agent.cpp
@@ -32,7 +32,7 @@
 
 fleet_agent::fleet_agent(parts p, const clock_reading& clock)
     : m_parts(std::move(p)), m_clock(clock) {
-  m_parts.slots.set_on_change([this] { announce_slots(); });
+  m_parts.slots.set_on_change([this] { m_slots_changed = true; });
   m_parts.lease.set_on_lost([this] {
     m_parts.log(event_id::lease_lost, {{"lease", m_parts.lease.id()}});
     m_parts.slots.drop_all();
@@ -64,6 +64,10 @@
   m_parts.shares.tick(m_clock.now);
   tick_lease();
   tick_slots();
+  if (m_slots_changed) {
+    m_slots_changed = false;
+    announce_slots();
+  }
   tick_sweep();
   tick_report();
   tick_handover();
--- a/src/kingcupslip/core/fleet_agent.hpp
+++ b/src/kingcupslip/core/fleet_agent.hpp
@@ -107,6 +107,7 @@
   bool m_joined = false;
   bool m_row_written = false;
   bool m_report_busy = false;
+  bool m_slots_changed = false;
   bool m_leaving = false;
 };
 
--- a/src/kingcupslip/core/owner_stage.cpp
+++ b/src/kingcupslip/core/owner_stage.cpp
@@ -35,6 +35,12 @@
   }
   const std::string team = request.team;
   const std::string key = request.idempotency_key;
+  if (request.peek) {
+    handler(refusal(
+        reason::over_rate,
+        m_memory.what_became_of(team, key, held->complete_since, m_clock)));
+    return nullptr;
+  }
   std::optional<outcome> known =
       m_memory.begin(team, key, request.digest, held->complete_since, m_clock);
   if (known) {
--- a/src/kingcupslip/core/rate_gate.cpp
+++ b/src/kingcupslip/core/rate_gate.cpp
@@ -32,8 +32,7 @@
   }
   const duration patience =
       std::min(longest_wait, (deadline - m_clock.now) / part_of_time_left);
-  const duration expected =
-      m_shares.expected_wait(team, l.size(), m_clock.now);
+  const duration expected = m_shares.expected_wait(team, l.size(), m_clock.now);
   if (expected > patience) {
     next(false, retry_after(expected));
     return;
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -83,6 +83,7 @@
   }
   out.body = c.body;
   out.api_key_id = c.api_key_id;
+  out.peek = c.peek;
   return out;
 }
 
--- /dev/null
+++ b/tests/core/at_most_once_test.cpp
@@ -0,0 +1,198 @@
+// A non-idempotent request runs at most once, whatever fails.
+#include "support/golden.hpp"
+#include "support/virtual_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kingcupslip;
+using namespace std::chrono_literals;
+
+TEST_GROUP(at_most_once) {
+  virtual_fleet f{3};
+  transcript t;
+
+  void say(const std::string& what, const outcome& o) {
+    t.line(what + ": " + text_of(o));
+  }
+
+  outcome book(const std::string& through, const std::string& key,
+               const std::string& body = "order",
+               std::chrono::milliseconds timeout = 1000ms) {
+    return f.ask(through, "/svc/book", "secret-a", key, body, timeout);
+  }
+
+  std::string owner_of(const std::string& key) {
+    for (const std::string& it : f.names()) {
+      const std::uint32_t slot = slot_of("team-a", key);
+      if (f.alive(it) &&
+          f.at(it).slots().owned(slot, f.time.now()) != nullptr) {
+        return it;
+      }
+    }
+    return "";
+  }
+
+  /// A node that owns neither the key nor is `not_this`.
+  std::string other_than(const std::string& a, const std::string& b = "") {
+    for (const std::string& it : f.names()) {
+      if (it != a && it != b && f.alive(it)) {
+        return it;
+      }
+    }
+    return "";
+  }
+};
+
+TEST(at_most_once, resends_replay_the_answer_through_any_node) {
+  build_two_data_centres(f, 2);
+  const std::string key = f.mint_key();
+  say("first", book("a1", key));
+  for (const std::string& it : f.names()) {
+    say("again at " + it, book(it, key));
+  }
+  say("other body", book("b1", key, "another order"));
+  t.line("runs: " + std::to_string(f.runs(key)));
+  check_golden("at_most_once_replay", t);
+}
+
+TEST(at_most_once, a_concurrent_resend_is_told_that_it_still_runs) {
+  build_two_data_centres(f, 2);
+  const std::string key = f.mint_key();
+  outcome first;
+  f.request("a1", "/svc/book", "secret-a", key, "order",
+            [&first](outcome o) { first = std::move(o); });
+  f.run_for(3ms);
+  say("while it runs", book("b2", key));
+  f.run_for(1s);
+  say("first", first);
+  t.line("runs: " + std::to_string(f.runs(key)));
+  check_golden("at_most_once_concurrent", t);
+}
+
+TEST(at_most_once, an_owner_that_dies_leaves_doubt_but_no_second_run) {
+  build_two_data_centres(f, 3);
+  const std::string key = f.mint_key();
+  const std::string owner = owner_of(key);
+  const std::string through = other_than(owner);
+  outcome first;
+  f.request(
+      through, "/svc/book", "secret-a", key, "order",
+      [&first](outcome o) { first = std::move(o); }, 2000ms);
+  f.run_for(6ms);
+  f.kill(owner);
+  f.run_for(5s);
+  say("first", first);
+  say("before the takeover", book(through, key));
+  f.run_for(40s);
+  CHECK_TRUE(!owner_of(key).empty());
+  say("after the takeover", book(through, key));
+  say("a new key of the slot's new owner", book(through, f.mint_key()));
+  t.line("runs: " + std::to_string(f.runs(key)));
+  check_golden("at_most_once_owner_dies", t);
+}
+
+TEST(at_most_once, an_owner_paused_past_its_lease_does_not_run_it_again) {
+  build_two_data_centres(f, 3);
+  const std::string key = f.mint_key();
+  const std::string owner = owner_of(key);
+  const std::string through = other_than(owner);
+  f.pause(owner);
+  outcome first;
+  f.request(
+      through, "/svc/book", "secret-a", key, "order",
+      [&first](outcome o) { first = std::move(o); }, 1000ms);
+  f.run_for(60s);
+  say("first", first);
+  const std::string heir = owner_of(key);
+  CHECK_TRUE(!heir.empty() && heir != owner);
+  say("at the new owner", book(through, key));
+  f.wake(owner);
+  f.run_for(5s);
+  say("after the old one woke", book(through, key));
+  t.line("runs: " + std::to_string(f.runs(key)));
+  check_golden("at_most_once_paused_owner", t);
+}
+
+TEST(at_most_once, orders_go_on_through_a_long_outage_of_the_table) {
+  build_two_data_centres(f, 2);
+  book("a1", f.mint_key());
+  f.faults.down = true;
+  int ran = 0;
+  for (int i = 0; i < 60; ++i) {
+    f.run_for(10s);
+    ran += book(i % 2 == 0 ? "a1" : "b2", f.mint_key()).ran == verdict::ran ? 1
+                                                                            : 0;
+  }
+  LONGS_EQUAL(60, ran);
+}
+
+TEST(at_most_once, cut_data_centres_never_run_one_order_on_both_sides) {
+  build_two_data_centres(f, 2);
+  f.cut_data_centres("dc-a", "dc-b");
+  f.faults.cut_off = {"b1", "b2"};
+  int doubled = 0;
+  int ran = 0;
+  int untrue = 0;
+  for (int i = 0; i < 60; ++i) {
+    const std::string key = f.mint_key();
+    for (const char* through : {"a1", "b1", "a2", "b2"}) {
+      const outcome o = book(through, key, "order", 200ms);
+      ran += o.ran == verdict::ran ? 1 : 0;
+      untrue += o.ran == verdict::not_run && f.runs(key) > 0 ? 1 : 0;
+    }
+    doubled += f.runs(key) > 1 ? 1 : 0;
+    f.run_for(2s);
+  }
+  LONGS_EQUAL(0, doubled);
+  LONGS_EQUAL(0, untrue);
+  CHECK_TRUE(ran > 0);
+}
+
+TEST(at_most_once, a_draining_owner_hands_its_memory_over) {
+  build_two_data_centres(f, 2);
+  const std::string key = f.mint_key();
+  const std::string owner = owner_of(key);
+  const std::string through = other_than(owner);
+  say("first", book(through, key));
+  f.at(owner).start_draining();
+  f.run_for(10s);
+  CHECK_TRUE(f.at(owner).drained());
+  f.kill(owner);
+  f.run_for(2s);
+  say("replayed by the successor", book(through, key));
+  say("a new key", book(through, f.mint_key()));
+  t.line("runs: " + std::to_string(f.runs(key)));
+  check_golden("at_most_once_handover", t);
+}
+
+TEST(at_most_once, without_a_key_a_request_is_sent_once) {
+  build_two_data_centres(f, 2);
+  for (const std::string& it : f.names()) {
+    f.target(it).settings().service = 100ms;
+  }
+  const std::uint64_t before = f.total_runs();
+  outcome got;
+  f.request("a1", "/svc/book", "secret-a", "", "order",
+            [&got](outcome o) { got = std::move(o); });
+  f.run_for(20ms);
+  for (const std::string& it : f.names()) {
+    if (f.target(it).load() > 0) {
+      f.target(it).crash();
+    }
+  }
+  f.run_for(2s);
+  STRCMP_EQUAL("502 connection_lost may-have-run", text_of(got).c_str());
+  LONGS_EQUAL(before + 1, f.total_runs());
+}
+
+TEST(at_most_once, an_opaque_key_is_refused_by_an_owner_that_lost_memory) {
+  build_two_data_centres(f, 3);
+  const std::string key = "order-4711";
+  say("first", book("a1", key));
+  const std::string owner = owner_of(key);
+  f.kill(owner);
+  f.run_for(60s);
+  say("after the owner died", book(other_than(owner), key));
+  t.line("runs: " + std::to_string(f.runs(key)));
+  check_golden("at_most_once_opaque_key", t);
+}
--- /dev/null
+++ b/tests/core/retry_test.cpp
@@ -0,0 +1,216 @@
+// Retries: bounded end to end, closed in overload, cancelled with the caller.
+#include "support/golden.hpp"
+#include "support/virtual_fleet.hpp"
+
+#include "kingcupslip/core/header_names.hpp"
+#include "kingcupslip/core/retry_ratio.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kingcupslip;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string service_name(int level) { return "s" + std::to_string(level); }
+
+/// A contract whose routes are the levels of a call chain.
+contract chain_contract(int levels, std::uint32_t retries) {
+  contract c = simple_contract("team-a", 100'000, 100'000);
+  c.retries = retries;
+  for (int i = 0; i < levels; ++i) {
+    route_terms r;
+    r.service = service_name(i);
+    r.timeout = 10s;
+    c.routes.push_back(r);
+  }
+  return c;
+}
+
+} // namespace
+
+TEST_GROUP(retry) {
+  virtual_fleet f{11};
+
+  /// `levels` services, one target each; each calls the next, the last one
+  /// answers `last_status`.
+  void build_chain(int levels, std::uint32_t retries, bool last_lost) {
+    for (int i = 0; i < levels; ++i) {
+      for (const char* twin : {"x", "y"}) {
+        f.add(service_name(i) + twin, "dc-a", service_name(i), {10, 1ms, 1000});
+      }
+    }
+    f.run_for(4s);
+    f.apply_contract("s0x", chain_contract(levels, retries));
+    f.issue_key("s0x", "key-a", "team-a", "secret-a");
+    f.run_for(4s);
+    for (int i = 0; i < levels; ++i) {
+      for (const char* twin : {"x", "y"}) {
+        const std::string name = service_name(i) + twin;
+        const bool last = i + 1 == levels;
+        f.target(name).serve =
+            [this, name, i, last,
+             last_lost](const target_request& r,
+                        const std::function<void(std::uint16_t)>& done) {
+              if (last) {
+                done(last_lost ? 503 : 200);
+                return;
+              }
+              nested_call(name, "/" + service_name(i + 1) + "/", r, done);
+            };
+      }
+    }
+  }
+
+  void nested_call(const std::string& through, const std::string& path,
+                   const target_request& parent,
+                   const std::function<void(std::uint16_t)>& done) {
+    caller_request r;
+    r.method = "POST";
+    r.target = path;
+    for (const header& it : parent.headers) {
+      if (same_header(it.name, header_names::context)) {
+        r.headers.push_back(it);
+      }
+    }
+    f.at(through).on_request(r, [done](const outcome& o) {
+      done(o.ran == verdict::ran ? o.status : 503);
+    });
+  }
+};
+
+TEST(retry, a_chain_of_fifteen_failing_hops_spends_one_budget) {
+  constexpr int levels = 15;
+  constexpr std::uint32_t retries = 3;
+  build_chain(levels, retries, true);
+  const outcome o = f.ask("s0x", "/s0/", "secret-a", "", "x", 10'000ms);
+  CHECK_TRUE(o.why != reason::none);
+  // Each retry re-runs at most the chain below it.
+  CHECK_COMPARE(f.total_runs(), <=, levels * (1U + retries));
+  CHECK_COMPARE(o.retries_used, <=, retries);
+  CHECK_COMPARE(f.total_runs(), >=, std::uint64_t{levels});
+}
+
+TEST(retry, a_healthy_chain_runs_each_hop_once) {
+  build_chain(15, 3, false);
+  const outcome o = f.ask("s0x", "/s0/", "secret-a", "", "x", 10'000ms);
+  LONGS_EQUAL(200, o.status);
+  LONGS_EQUAL(15, f.total_runs());
+}
+
+TEST(retry, the_ratio_closes_while_the_service_refuses_and_opens_again) {
+  retry_ratio r;
+  instant now = 1h;
+  for (int i = 0; i < 100; ++i) {
+    r.on_first_try();
+    r.on_result(true, now);
+  }
+  CHECK_FALSE(r.spend(now));
+  now += 10s;
+  for (int i = 0; i < 100; ++i) {
+    r.on_first_try();
+    r.on_result(false, now);
+  }
+  CHECK_TRUE(r.spend(now));
+}
+
+TEST(retry, retries_stay_a_tenth_of_first_tries) {
+  retry_ratio r;
+  int spent = 0;
+  for (int i = 0; i < 1000; ++i) {
+    r.on_first_try();
+    r.on_result(false, 1h);
+    spent += r.spend(1h) ? 1 : 0;
+  }
+  CHECK_COMPARE(spent, <=, 110);
+}
+
+TEST(retry, another_target_answers_when_one_refuses_connections) {
+  build_two_data_centres(f, 2);
+  f.target("a1").crash();
+  int ran = 0;
+  for (int i = 0; i < 50; ++i) {
+    ran += f.ask("a2", "/svc/list", "secret-a").ran == verdict::ran ? 1 : 0;
+  }
+  LONGS_EQUAL(50, ran);
+}
+
+TEST(retry, a_caller_that_goes_away_stops_its_work) {
+  build_two_data_centres(f, 1);
+  for (const std::string& it : f.names()) {
+    f.target(it).settings().service = 1s;
+  }
+  const std::uint64_t before = f.total_runs();
+  caller_request r;
+  r.method = "GET";
+  r.target = "/svc/list";
+  r.headers.push_back({"Authorization", "Bearer secret-a"});
+  r.connection = 77;
+  outcome got;
+  f.at("a1").on_request(r, [&got](outcome o) { got = std::move(o); });
+  f.run_for(300ms);
+  f.at("a1").on_caller_gone(77);
+  f.run_for(50ms);
+  STRCMP_EQUAL("499 cancelled may-have-run", text_of(got).c_str());
+  LONGS_EQUAL(1, f.target("a1").cancelled + f.target("b1").cancelled);
+  LONGS_EQUAL(before + 1, f.total_runs());
+}
+
+TEST(retry, crossed_doubled_and_late_answers_reach_nobody_else) {
+  build_two_data_centres(f, 3);
+  f.doubled_per_mille = 300;
+  f.delayed_per_mille = 300;
+  int wrong = 0;
+  int answered = 0;
+  for (int i = 0; i < 2000; ++i) {
+    const std::string body = "request " + std::to_string(i);
+    const std::string key = f.mint_key();
+    f.request(i % 2 == 0 ? "a1" : "b2", i % 3 == 0 ? "/svc/book" : "/svc/list",
+              "secret-a", key, body,
+              [&wrong, &answered, body](const outcome& o) {
+                ++answered;
+                const std::string got(o.body.begin(), o.body.end());
+                wrong += o.ran == verdict::ran && got != body ? 1 : 0;
+              });
+    f.run_for(2ms);
+  }
+  f.run_for(10s);
+  LONGS_EQUAL(2000, answered);
+  LONGS_EQUAL(0, wrong);
+}
+
+TEST(retry, a_request_that_crashes_targets_is_refused_and_bystanders_are_not) {
+  build_two_data_centres(f, 3);
+  const auto restart_all = [this] {
+    for (const std::string& it : f.names()) {
+      f.target(it).restart();
+    }
+  };
+  int crashes_before_refusal = 0;
+  outcome last;
+  for (int i = 0; i < 6; ++i) {
+    const std::uint64_t before = f.total_runs();
+    for (int k = 0; k < 3; ++k) {
+      f.request("a1", "/svc/list", "secret-a", "",
+                "bystander " + std::to_string(k), [](const outcome&) {});
+    }
+    last =
+        f.ask("a1", "/svc/list", "secret-a", f.mint_key(), "crash-this-target");
+    crashes_before_refusal += last.why != reason::quarantined ? 1 : 0;
+    f.run_for(4s);
+    restart_all();
+    f.run_for(3s);
+    CHECK_TRUE(f.total_runs() >= before);
+  }
+  STRCMP_EQUAL("503 quarantined not-run", text_of(last).c_str());
+  CHECK_COMPARE(crashes_before_refusal, <=, 2);
+  f.run_for(10s);
+  const outcome elsewhere =
+      f.ask("b2", "/svc/list", "secret-a", f.mint_key(), "crash-this-target");
+  STRCMP_EQUAL("503 quarantined not-run", text_of(elsewhere).c_str());
+  for (int k = 0; k < 3; ++k) {
+    const outcome o = f.ask("a1", "/svc/list", "secret-a", "",
+                            "bystander " + std::to_string(k));
+    STRCMP_EQUAL("200 ran", text_of(o).c_str());
+  }
+}
--- a/tests/support/virtual_fleet.cpp
+++ b/tests/support/virtual_fleet.cpp
@@ -397,6 +397,11 @@
   f.apply_contract("a1", simple_contract("team-a", rate, burst));
   f.issue_key("a1", "key-a", "team-a", "secret-a");
   f.run_for(std::chrono::seconds(6));
+  // Every node gets its first share of the rate.
+  for (const std::string& it : f.names()) {
+    f.ask(it, "/svc/list", "secret-a");
+  }
+  f.run_for(std::chrono::seconds(1));
 }
 
 std::string text_of(const outcome& o) {
