--- /dev/null
+++ b/bench/overload.cpp
@@ -0,0 +1,245 @@
+// Overload on virtual time: the decisions against plain forwarding.
+#include "support/virtual_fleet.hpp"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace kingcupslip;
+using namespace std::chrono_literals;
+
+/// One deployment's service, as the brief sizes it.
+struct deployment {
+  std::string name;
+  std::size_t data_centres;
+  std::size_t endpoints;
+  std::size_t slots; ///< of each endpoint
+  duration service;
+
+  double capacity_per_s() const {
+    return static_cast<double>(endpoints * slots) /
+           (static_cast<double>(service.count()) / 1e6);
+  }
+};
+
+constexpr std::chrono::milliseconds caller_patience{400};
+constexpr duration warm_up = 4s;
+constexpr duration measured = 6s;
+
+struct counts {
+  std::uint64_t sent = 0;
+  std::uint64_t good = 0;
+};
+
+/// A fleet of one service with open-loop callers that resend.
+class scene {
+public:
+  scene(const deployment& d, bool plain, std::uint64_t seed) : f(seed) {
+    dispatcher::options o;
+    o.plain_forwarding = plain;
+    for (std::size_t i = 0; i < d.endpoints; ++i) {
+      const std::string dc = "dc-" + std::to_string(i % d.data_centres);
+      f.add("n" + std::to_string(i), dc, "svc", {d.slots, d.service, 1'000'000},
+            o);
+    }
+    f.run_for(4s);
+    f.apply_contract("n0", terms("team-a"));
+    f.apply_contract("n0", terms("team-b"));
+    f.issue_key("n0", "ka", "team-a", "secret-a");
+    f.issue_key("n0", "kb", "team-b", "secret-b");
+    f.run_for(5s);
+    names = f.names();
+  }
+
+  /// Priority by route: /book high, /list normal, /dispatch critical.
+  static contract terms(const std::string& team) {
+    contract c = simple_contract(team, 1e6, 1e6);
+    c.retries = 3;
+    route_terms dispatch;
+    dispatch.service = "svc";
+    dispatch.path_prefix = "/dispatch";
+    dispatch.rank = priority::critical;
+    c.routes.push_back(dispatch);
+    return c;
+  }
+
+  /// Poisson arrivals; callers resend up to `resends` times.
+  void offer(const std::string& secret, const std::string& path, double per_s,
+             duration span, counts& into, int resends) {
+    streams.push_back(
+        {secret, path, per_s, f.time.now() + span, &into, resends});
+  }
+
+  void run_for(duration span) {
+    const instant end = f.time.now() + span;
+    while (f.time.now() < end) {
+      for (const stream& s : streams) {
+        if (f.time.now() >= s.until) {
+          continue;
+        }
+        std::poisson_distribution<int> n(s.per_s / 1000);
+        for (int k = n(f.random); k > 0; --k) {
+          send(s, s.resends);
+        }
+      }
+      f.run_for(1ms);
+    }
+  }
+
+  virtual_fleet f;
+  std::vector<std::string> names;
+
+private:
+  struct stream {
+    std::string secret;
+    std::string path;
+    double per_s;
+    instant until;
+    counts* into;
+    int resends;
+  };
+
+  void send(const stream& s, int resends_left) {
+    ++s.into->sent;
+    const instant began = f.time.now();
+    const stream copy = s;
+    f.request(
+        names[f.random() % names.size()], s.path, s.secret, "", "x",
+        [this, copy, began, resends_left](const outcome& o) {
+          const bool in_time = f.time.now() - began <= caller_patience;
+          if (o.ran == verdict::ran && o.status == 200 && in_time) {
+            ++copy.into->good;
+          } else if (resends_left > 0) {
+            // A hasty client: it sends again after little more than nothing.
+            f.time.after(20ms, [this, copy, resends_left] {
+              send(copy, resends_left - 1);
+            });
+          }
+        },
+        caller_patience);
+  }
+
+  std::vector<stream> streams;
+};
+
+double goodput(const deployment& d, bool plain, double load) {
+  scene s(d, plain, 5);
+  counts warm;
+  counts c;
+  const double per_s = d.capacity_per_s() * load;
+  s.offer("secret-a", "/svc/list", per_s, warm_up, warm, 0);
+  s.run_for(warm_up);
+  s.offer("secret-a", "/svc/list", per_s, measured, c, 0);
+  s.run_for(measured + 1s);
+  return static_cast<double>(c.good) / 6;
+}
+
+void goodput_table(const deployment& d) {
+  std::printf("%s: %zu endpoints x %zu slots, %.0f ms; capacity %.0f/s; "
+              "goodput/s\n  load      plain   kingcupslip\n",
+              d.name.c_str(), d.endpoints, d.slots,
+              static_cast<double>(d.service.count()) / 1e3, d.capacity_per_s());
+  for (const double load : {0.5, 1.0, 2.0, 4.0, 10.0}) {
+    std::printf("  %4.1f x  %8.0f %8.0f\n", load, goodput(d, true, load),
+                goodput(d, false, load));
+  }
+}
+
+/// Seconds from the trigger's end until goodput is back at 90% of before.
+double recovery(const deployment& d, bool plain) {
+  scene s(d, plain, 6);
+  counts steady;
+  const double base = d.capacity_per_s() * 0.7;
+  s.offer("secret-a", "/svc/list", base, 10min, steady, 3);
+  s.run_for(5s);
+  const std::uint64_t before = steady.good;
+  s.run_for(2s);
+  const double normal = static_cast<double>(steady.good - before) / 2;
+  counts surge;
+  s.offer("secret-b", "/svc/list", d.capacity_per_s() * 4, 3s, surge, 3);
+  s.run_for(3s);
+  for (int i = 1; i <= 60; ++i) {
+    const std::uint64_t at = steady.good;
+    s.run_for(500ms);
+    if (static_cast<double>(steady.good - at) * 2 >= normal * 0.9) {
+      return i * 0.5;
+    }
+  }
+  return -1;
+}
+
+void fairness(const deployment& d, bool plain) {
+  scene s(d, plain, 7);
+  counts modest;
+  counts greedy;
+  counts warm;
+  const double due = d.capacity_per_s() * 0.3;
+  s.offer("secret-a", "/svc/list", due, 20s, warm, 0);
+  s.offer("secret-b", "/svc/list", due * 10, 20s, greedy, 0);
+  s.run_for(5s);
+  s.offer("secret-a", "/svc/list", 0, 1s, modest, 0);
+  const counts at = warm;
+  s.run_for(6s);
+  std::printf("  worst-served team at its due, other at 10 x: %.1f%% of due "
+              "(%s)\n",
+              100.0 * static_cast<double>(warm.good - at.good) /
+                  static_cast<double>(warm.sent - at.sent),
+              plain ? "plain" : "kingcupslip");
+}
+
+void priorities(const deployment& d, bool plain) {
+  scene s(d, plain, 8);
+  counts critical;
+  counts normal;
+  const double capacity = d.capacity_per_s();
+  s.offer("secret-a", "/svc/dispatch", capacity * 0.4, 20s, critical, 0);
+  s.offer("secret-a", "/svc/list", capacity * 4, 20s, normal, 0);
+  s.run_for(5s);
+  const counts c0 = critical;
+  const counts n0 = normal;
+  s.run_for(6s);
+  std::printf("  critical at 0.4 x beside normal at 4 x: %.2f%% and %.1f%% "
+              "answered (%s)\n",
+              100.0 * static_cast<double>(critical.good - c0.good) /
+                  static_cast<double>(critical.sent - c0.sent),
+              100.0 * static_cast<double>(normal.good - n0.good) /
+                  static_cast<double>(normal.sent - n0.sent),
+              plain ? "plain" : "kingcupslip");
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Goodput, recovery, fairness and shedding order, side by side "
+               "with plain forwarding"};
+  std::string only;
+  app.add_option("--only", only, "part of a deployment's name");
+  CLI11_PARSE(app, argc, argv);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  // Scaled in slots and rates alike; ratios are the brief's.
+  const std::vector<deployment> all{{"Krmivo dispatch", 3, 3, 25, 50ms},
+                                    {"Krmivo stock", 3, 5, 30, 50ms},
+                                    {"agency cashier-payments", 4, 4, 50, 60ms},
+                                    {"agency balances", 4, 4, 20, 40ms}};
+  for (const deployment& d : all) {
+    if (d.name.find(only) == std::string::npos) {
+      continue;
+    }
+    goodput_table(d);
+    for (const bool plain : {true, false}) {
+      const double s = recovery(d, plain);
+      std::printf("  recovery after a surge of 4 x for 3 s with resends: "
+                  "%.1f s%s (%s)\n",
+                  s, s < 0 ? " (not within 30 s)" : "",
+                  plain ? "plain" : "kingcupslip");
+      fairness(d, plain);
+      priorities(d, plain);
+    }
+  }
+  return 0;
+}
--- a/src/kingcupslip/core/config_rows.cpp
+++ b/src/kingcupslip/core/config_rows.cpp
@@ -40,6 +40,10 @@
   return std::string(config_log_prefix) + std::string(zeros, '0') + digits;
 }
 
+std::string config_operation_key(const std::string& operation) {
+  return std::string(config_operation_prefix) + operation;
+}
+
 std::string config_item_key(const std::string& key) {
   return std::string(config_item_prefix) + key;
 }
--- a/src/kingcupslip/core/config_rows.hpp
+++ b/src/kingcupslip/core/config_rows.hpp
@@ -12,10 +12,12 @@
 namespace kingcupslip {
 
 /// `config/head` holds the sequence of the last change, `config/item/KEY`
-/// each item, `config/log/SEQUENCE` the changes in order.
+/// each item, `config/log/SEQUENCE` the changes in order, and
+/// `config/op/OPERATION` the sequence of each operation in the log.
 constexpr std::string_view config_head_key = "config/head";
 constexpr std::string_view config_item_prefix = "config/item/";
 constexpr std::string_view config_log_prefix = "config/log/";
+constexpr std::string_view config_operation_prefix = "config/op/";
 
 /// Changes kept in the log; readers further behind read all items.
 constexpr std::uint64_t config_log_length = 10'000;
@@ -30,6 +32,7 @@
 config_change parse_change(std::string_view json_text);
 
 std::string config_log_key(std::uint64_t sequence);
+std::string config_operation_key(const std::string& operation);
 std::string config_item_key(const std::string& key);
 
 std::string head_to_json(std::uint64_t sequence);
--- a/src/kingcupslip/core/config_writer.cpp
+++ b/src/kingcupslip/core/config_writer.cpp
@@ -16,102 +16,107 @@
     : m_table(std::move(table)), m_request(std::move(request)),
       m_handler(std::move(handler)) {}
 
-void config_write::start() { read_head(); }
+void config_write::start() { look_for_operation(); }
 
-void config_write::read_head() {
+void config_write::read_row(const std::string& key,
+                            std::function<void(const table_row* row)> next) {
   const std::shared_ptr<config_write> self = shared_from_this();
-  m_table.read({std::string(config_head_key), "", 1},
-               [self](table_status status, const std::vector<table_row>& rows) {
+  m_table.read({key, "", 1},
+               [self, key, next](table_status status,
+                                 const std::vector<table_row>& rows) {
                  if (status != table_status::ok) {
                    self->again(true);
                    return;
                  }
-                 const bool there = !rows.empty();
-                 const std::uint64_t last =
-                     there ? parse_head(rows.front().value) : 0;
-                 const bool lost_before = self->m_unsettled;
-                 if (lost_before && last >= self->m_sequence) {
-                   self->check_log();
-                   return;
-                 }
-                 self->m_unsettled = false;
-                 self->m_sequence = last + 1;
-                 self->read_item(there ? rows.front().version : 0);
+                 // A prefix read may return a longer key instead.
+                 const bool there = !rows.empty() && rows.front().key == key;
+                 next(there ? &rows.front() : nullptr);
                });
 }
 
-void config_write::check_log() {
-  // The log names the operation of each sequence, also after the item has
-  // been overwritten by a later change.
-  const std::shared_ptr<config_write> self = shared_from_this();
-  m_table.read({config_log_key(m_sequence), "", 1},
-               [self](table_status status, const std::vector<table_row>& rows) {
-                 if (status != table_status::ok || rows.empty()) {
-                   self->again(true);
-                   return;
-                 }
-                 const config_change c = parse_change(rows.front().value);
-                 if (c.operation == self->m_request.operation) {
-                   self->finish(write_status::accepted, c.item.sequence);
-                   return;
-                 }
-                 self->m_unsettled = false;
-                 self->again(false);
-               });
+void config_write::look_for_operation() {
+  // A row per operation tells whether it took effect, also when its answer
+  // was lost and the item has been overwritten since.
+  read_row(config_operation_key(m_request.operation),
+           [this](const table_row* row) {
+             if (row != nullptr) {
+               finish(write_status::accepted, parse_head(row->value));
+               return;
+             }
+             read_head();
+           });
+}
+
+void config_write::read_head() {
+  read_row(std::string(config_head_key), [this](const table_row* row) {
+    m_sequence = (row == nullptr ? 0 : parse_head(row->value)) + 1;
+    read_item(row == nullptr ? 0 : row->version);
+  });
 }
 
 void config_write::read_item(std::uint64_t head_version) {
-  const std::shared_ptr<config_write> self = shared_from_this();
-  m_table.read({config_item_key(m_request.key), "", 1},
-               [self, head_version](table_status status,
-                                    const std::vector<table_row>& rows) {
-                 if (status != table_status::ok) {
-                   self->again(true);
-                   return;
-                 }
-                 self->decide(head_version, rows);
-               });
+  read_row(config_item_key(m_request.key),
+           [this, head_version](const table_row* row) {
+             decide(head_version, row);
+           });
 }
 
-void config_write::decide(std::uint64_t head_version,
-                          const std::vector<table_row>& rows) {
-  // A prefix read may return the next key instead of the one asked for.
-  const bool there =
-      !rows.empty() && rows.front().key == config_item_key(m_request.key);
+void config_write::decide(std::uint64_t head_version, const table_row* item) {
   const config_change now =
-      there ? parse_change(rows.front().value) : config_change{};
-  if (there && now.operation == m_request.operation) {
-    finish(write_status::accepted, now.item.sequence);
-    return;
-  }
+      item == nullptr ? config_change{} : parse_change(item->value);
   const bool moved = m_request.expected_sequence &&
                      *m_request.expected_sequence != now.item.sequence;
   if (moved) {
     finish(write_status::conflict, 0, now.item);
     return;
   }
-  write(head_version, there ? rows.front().version : 0);
+  trim_log(head_version, item == nullptr ? 0 : item->version);
+}
+
+void config_write::trim_log(std::uint64_t head_version,
+                            std::uint64_t item_version) {
+  if (m_sequence <= config_log_length) {
+    write(head_version, item_version, {});
+    return;
+  }
+  read_row(config_log_key(m_sequence - config_log_length),
+           [this, head_version, item_version](const table_row* old) {
+             table_transaction trimmed;
+             if (old != nullptr) {
+               trimmed.push_back(
+                   {old->key, old->version, std::nullopt, false});
+               // Written in the same transaction, so of the same version.
+               trimmed.push_back(
+                   {config_operation_key(parse_change(old->value).operation),
+                    old->version, std::nullopt, false});
+             }
+             write(head_version, item_version, trimmed);
+           });
 }
 
 void config_write::write(std::uint64_t head_version,
-                         std::uint64_t item_version) {
+                         std::uint64_t item_version,
+                         const table_transaction& trimmed) {
   const config_change c{{m_request.key, m_request.value, m_sequence},
                         m_request.operation};
   const std::string text = to_json(c);
-  table_transaction writes{
-      {std::string(config_head_key), head_version, head_to_json(m_sequence),
-       false},
-      {config_item_key(m_request.key), item_version, text, false},
-      {config_log_key(m_sequence), 0, text, false}};
+  const std::string head = head_to_json(m_sequence);
+  table_transaction writes = trimmed;
+  writes.push_back({std::string(config_head_key), head_version, head, false});
+  writes.push_back(
+      {config_item_key(m_request.key), item_version, text, false});
+  writes.push_back({config_log_key(m_sequence), 0, text, false});
+  writes.push_back(
+      {config_operation_key(m_request.operation), 0, head, false});
   const std::shared_ptr<config_write> self = shared_from_this();
-  m_table.commit(std::move(writes), [self](table_status status, std::uint64_t) {
-    if (status == table_status::ok) {
-      self->finish(write_status::accepted, self->m_sequence);
-      return;
-    }
-    self->m_unsettled = status == table_status::unknown;
-    self->again(status != table_status::conflict);
-  });
+  m_table.commit(std::move(writes),
+                 [self](table_status status, std::uint64_t) {
+                   if (status == table_status::ok) {
+                     self->finish(write_status::accepted, self->m_sequence);
+                     return;
+                   }
+                   self->again(status != table_status::conflict);
+                 });
 }
 
 void config_write::again(bool counts) {
@@ -122,7 +127,7 @@
     finish(write_status::unavailable, 0);
     return;
   }
-  read_head();
+  look_for_operation();
 }
 
 void config_write::finish(write_status status, std::uint64_t sequence,
--- a/src/kingcupslip/core/config_writer.hpp
+++ b/src/kingcupslip/core/config_writer.hpp
@@ -46,11 +46,16 @@
   void start();
 
 private:
+  /// Reads one row by its exact key and goes on, or counts a failed try.
+  void read_row(const std::string& key,
+                std::function<void(const table_row* row)> next);
+  void look_for_operation();
   void read_head();
   void read_item(std::uint64_t head_version);
-  void decide(std::uint64_t head_version, const std::vector<table_row>& rows);
-  void write(std::uint64_t head_version, std::uint64_t item_version);
-  void check_log();
+  void decide(std::uint64_t head_version, const table_row* item);
+  void trim_log(std::uint64_t head_version, std::uint64_t item_version);
+  void write(std::uint64_t head_version, std::uint64_t item_version,
+             const table_transaction& trimmed);
   void again(bool counts);
   void finish(write_status status, std::uint64_t sequence,
               config_item current = {});
@@ -59,7 +64,6 @@
   change_request m_request;
   write_handler m_handler;
   std::uint64_t m_sequence = 0; ///< the one being written
-  bool m_unsettled = false;     ///< a write's answer was lost
   std::uint32_t m_tries = 0;
 };
 
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -286,6 +286,14 @@
   if (r.cancelled) {
     return;
   }
+  const bool out_of_time =
+      result.end == target_end::lost && m_clock.now >= r.deadline;
+  if (out_of_time) {
+    // How long it took says enough; its caller's patience is no sign of
+    // overload by itself.
+    m_limit.on_answer(m_clock.now - r.began, m_runs.size(), m_clock.now);
+    return;
+  }
   if (result.end != target_end::answered || target_shed(result)) {
     m_limit.on_failure(m_clock.now);
     return;
@@ -361,6 +369,17 @@
   return std::max(least_queue, m_limit.limit() * queue_per_limit);
 }
 
+duration target_stage::time_to_serve() const {
+  if (m_options.plain_forwarding) {
+    return duration(0);
+  }
+  // A request that starts with less time left than answers take now would
+  // only be lost at its deadline, after it held a slot.
+  const duration usual =
+      std::max(m_limit.floor_latency(), m_limit.recent_latency());
+  return usual + usual / 8;
+}
+
 duration target_stage::expected_wait(priority rank) const {
   const std::size_t ahead = m_queue.ahead_of(rank) + 1;
   const duration each = std::max(m_limit.recent_latency(), duration(1));
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -137,6 +137,7 @@
   void settle_loss(bool crashed);
   bool suspect_running() const { return m_suspect_run != 0; }
   std::size_t queue_capacity() const;
+  duration time_to_serve() const;
   duration expected_wait(priority rank) const;
 
   target_options m_options;
