Admission: grow once per round trip, count cut-short answers, fair waits

The limit ran away to 500 at a target of 25 slots: requests cut short at their deadline looked like quick answers, and the limit grew every 16 answers although those had been sent under the old limit. A modest team was refused for the wait behind a greedy team's line, which fair order never makes it stand in.

Ruled out: the queue's capacity (the same with a quarter of it by wait); counting a deadline as a failure, which halved the limit of healthy targets.

Change: a cut-short answer counts as three floors; growth waits one latency; the expected wait follows fair order and takes at most half the spare time.

--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -34,8 +34,17 @@
 struct counts {
   std::uint64_t sent = 0;
   std::uint64_t good = 0;
+  std::map<std::string, std::uint64_t> refused;
 };
 
+std::string text_of(const std::map<std::string, std::uint64_t>& refused) {
+  std::string out;
+  for (const std::pair<const std::string, std::uint64_t>& it : refused) {
+    out += " " + it.first + "=" + std::to_string(it.second);
+  }
+  return out;
+}
+
 /// A fleet of one service with open-loop callers that resend.
 class scene {
 public:
@@ -114,7 +123,10 @@
           const bool in_time = f.time.now() - began <= caller_patience;
           if (o.ran == verdict::ran && o.status == 200 && in_time) {
             ++copy.into->good;
-          } else if (resends_left > 0) {
+            return;
+          }
+          ++copy.into->refused[o.ran == verdict::ran ? "late" : text_of(o)];
+          if (resends_left > 0) {
             // A hasty client: it sends again after little more than nothing.
             f.time.after(20ms, [this, copy, resends_left] {
               send(copy, resends_left - 1);
@@ -183,13 +195,14 @@
   s.offer("secret-b", "/svc/list", due * 10, 20s, greedy, 0);
   s.run_for(5s);
   s.offer("secret-a", "/svc/list", 0, 1s, modest, 0);
+  warm.refused.clear();
   const counts at = warm;
   s.run_for(6s);
   std::printf("  worst-served team at its due, other at 10 x: %.1f%% of due "
-              "(%s)\n",
+              "(%s); refused:%s\n",
               100.0 * static_cast<double>(warm.good - at.good) /
                   static_cast<double>(warm.sent - at.sent),
-              plain ? "plain" : "kingcupslip");
+              plain ? "plain" : "kingcupslip", text_of(warm.refused).c_str());
 }
 
 void priorities(const deployment& d, bool plain) {
@@ -200,16 +213,18 @@
   s.offer("secret-a", "/svc/dispatch", capacity * 0.4, 20s, critical, 0);
   s.offer("secret-a", "/svc/list", capacity * 4, 20s, normal, 0);
   s.run_for(5s);
+  critical.refused.clear();
   const counts c0 = critical;
   const counts n0 = normal;
   s.run_for(6s);
   std::printf("  critical at 0.4 x beside normal at 4 x: %.2f%% and %.1f%% "
-              "answered (%s)\n",
+              "answered (%s); critical refused:%s\n",
               100.0 * static_cast<double>(critical.good - c0.good) /
                   static_cast<double>(critical.sent - c0.sent),
               100.0 * static_cast<double>(normal.good - n0.good) /
                   static_cast<double>(normal.sent - n0.sent),
-              plain ? "plain" : "kingcupslip");
+              plain ? "plain" : "kingcupslip",
+              text_of(critical.refused).c_str());
 }
 
 } // namespace
--- a/src/kingcupslip/core/admission_queue.cpp
+++ b/src/kingcupslip/core/admission_queue.cpp
@@ -2,6 +2,7 @@
 #include "kingcupslip/core/admission_queue.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace kingcupslip {
@@ -45,11 +46,25 @@
   return !remove_if(is_it).empty();
 }
 
-std::size_t admission_queue::ahead_of(priority rank) const {
+std::size_t admission_queue::ahead_of(priority rank, const std::string& team,
+                                      std::uint32_t weight) const {
   std::size_t n = 0;
-  for (std::size_t i = 0; i <= index_of(rank); ++i) {
+  for (std::size_t i = 0; i < index_of(rank); ++i) {
     n += m_ranks[i].size;
   }
+  const std::map<std::string, line>& teams = m_ranks[index_of(rank)].teams;
+  const auto own = teams.find(team);
+  const std::size_t mine = own == teams.end() ? 0 : own->second.size();
+  const double turns =
+      static_cast<double>(mine + 1) / std::max<std::uint32_t>(1, weight);
+  for (const std::pair<const std::string, line>& it : teams) {
+    if (it.first == team) {
+      n += mine;
+      continue;
+    }
+    const double passing = std::ceil(turns * it.second.weight);
+    n += std::min(it.second.size(), static_cast<std::size_t>(passing));
+  }
   return n;
 }
 
--- a/src/kingcupslip/core/admission_queue.hpp
+++ b/src/kingcupslip/core/admission_queue.hpp
@@ -62,8 +62,11 @@
 
   std::size_t size() const { return m_size; }
 
-  /// How many waiting requests would start before a new one of this rank.
-  std::size_t ahead_of(priority rank) const;
+  /// How many waiting requests would start before a new one of this team:
+  /// all of higher ranks, its own, and of each other team no more than the
+  /// fair order lets pass meanwhile.
+  std::size_t ahead_of(priority rank, const std::string& team,
+                       std::uint32_t weight) const;
 
 private:
   struct line {
--- a/src/kingcupslip/core/concurrency_limit.cpp
+++ b/src/kingcupslip/core/concurrency_limit.cpp
@@ -15,6 +15,8 @@
 constexpr double shrink_above = 1.6;
 constexpr double deepest_cut = 0.6;
 constexpr double failure_cut = 0.5;
+/// In floors.
+constexpr double cut_short_counts_as = 3;
 /// A floor may rise this much per window while nothing is congested, so
 /// that a target that really became slower is believed in time.
 constexpr double floor_rise = 1.01;
@@ -49,6 +51,12 @@
   }
 }
 
+void concurrency_limit::on_cut_short(duration latency, std::size_t in_flight,
+                                     instant now) {
+  on_answer(std::max(latency, scaled(m_floor, cut_short_counts_as)), in_flight,
+            now);
+}
+
 void concurrency_limit::on_failure(instant now) {
   if (now < m_no_backoff_before) {
     return;
@@ -98,6 +106,12 @@
   }
   m_cut_limit = 0;
   if (congestion < grow_below && saturated) {
+    if (now < m_no_growth_before) {
+      return;
+    }
+    // Answers that come sooner were sent under the old limit and say
+    // nothing about the new one.
+    m_no_growth_before = now + mean;
     grow();
   } else if (congestion >= grow_below) {
     m_slow_start = false;
--- a/src/kingcupslip/core/concurrency_limit.hpp
+++ b/src/kingcupslip/core/concurrency_limit.hpp
@@ -23,6 +23,11 @@
   /// requests at the target just before this answer.
   void on_answer(duration latency, std::size_t in_flight, instant now);
 
+  /// The request was cut short at its deadline: it would have taken longer
+  /// than `latency`. Taken as it is, such a latency would make an overloaded
+  /// target look quick to callers with little time.
+  void on_cut_short(duration latency, std::size_t in_flight, instant now);
+
   /// The target refused, timed out or lost a connection.
   void on_failure(instant now);
 
@@ -49,6 +54,7 @@
   std::size_t m_window_count = 0;
   bool m_window_saturated = false;
   instant m_no_backoff_before{0};
+  instant m_no_growth_before{0};
   /// Latency when the present run of cuts began, and the limit then.
   duration m_cut_latency{0};
   double m_cut_limit = 0;
--- a/src/kingcupslip/core/config_writer.cpp
+++ b/src/kingcupslip/core/config_writer.cpp
@@ -83,8 +83,7 @@
            [this, head_version, item_version](const table_row* old) {
              table_transaction trimmed;
              if (old != nullptr) {
-               trimmed.push_back(
-                   {old->key, old->version, std::nullopt, false});
+               trimmed.push_back({old->key, old->version, std::nullopt, false});
                // Written in the same transaction, so of the same version.
                trimmed.push_back(
                    {config_operation_key(parse_change(old->value).operation),
@@ -94,8 +93,7 @@
            });
 }
 
-void config_write::write(std::uint64_t head_version,
-                         std::uint64_t item_version,
+void config_write::write(std::uint64_t head_version, std::uint64_t item_version,
                          const table_transaction& trimmed) {
   const config_change c{{m_request.key, m_request.value, m_sequence},
                         m_request.operation};
@@ -103,20 +101,17 @@
   const std::string head = head_to_json(m_sequence);
   table_transaction writes = trimmed;
   writes.push_back({std::string(config_head_key), head_version, head, false});
-  writes.push_back(
-      {config_item_key(m_request.key), item_version, text, false});
+  writes.push_back({config_item_key(m_request.key), item_version, text, false});
   writes.push_back({config_log_key(m_sequence), 0, text, false});
-  writes.push_back(
-      {config_operation_key(m_request.operation), 0, head, false});
+  writes.push_back({config_operation_key(m_request.operation), 0, head, false});
   const std::shared_ptr<config_write> self = shared_from_this();
-  m_table.commit(std::move(writes),
-                 [self](table_status status, std::uint64_t) {
-                   if (status == table_status::ok) {
-                     self->finish(write_status::accepted, self->m_sequence);
-                     return;
-                   }
-                   self->again(status != table_status::conflict);
-                 });
+  m_table.commit(std::move(writes), [self](table_status status, std::uint64_t) {
+    if (status == table_status::ok) {
+      self->finish(write_status::accepted, self->m_sequence);
+      return;
+    }
+    self->again(status != table_status::conflict);
+  });
 }
 
 void config_write::again(bool counts) {
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -22,6 +22,12 @@
 constexpr std::uint16_t too_many_requests = 429;
 constexpr std::chrono::milliseconds shed_retry_after{1000};
 
+/// A rank outside the table, from a node of another release, is the lowest.
+priority rank_of(const wire::callT& request) {
+  return static_cast<priority>(
+      std::min<std::size_t>(request.priority, priority_count - 1));
+}
+
 bool target_said_not_run(const target_result& r) {
   return std::any_of(r.headers.begin(), r.headers.end(), [](const header& h) {
     return same_header(h.name, header_names::verdict) &&
@@ -52,8 +58,7 @@
   w.id = ticket;
   w.team = request.team;
   w.weight = request.weight;
-  w.rank = static_cast<priority>(
-      std::min<std::size_t>(request.priority, priority_count - 1));
+  w.rank = rank_of(request);
   w.wait = request.patient ? patience::patient : patience::impatient;
   w.depth = request.depth;
   w.min_share_percent = request.min_share_percent;
@@ -175,11 +180,9 @@
   if (m_options.plain_forwarding) {
     return std::nullopt;
   }
-  const priority rank = static_cast<priority>(
-      std::min<std::size_t>(request.priority, priority_count - 1));
   const bool must_wait = m_runs.size() >= m_limit.limit();
   const bool too_late = must_wait && request.patient &&
-                        m_clock.now + expected_wait(rank) > deadline;
+                        expected_wait(request) > longest_wait(deadline);
   if (too_late) {
     return reason::shed;
   }
@@ -289,9 +292,7 @@
   const bool out_of_time =
       result.end == target_end::lost && m_clock.now >= r.deadline;
   if (out_of_time) {
-    // How long it took says enough; its caller's patience is no sign of
-    // overload by itself.
-    m_limit.on_answer(m_clock.now - r.began, m_runs.size(), m_clock.now);
+    m_limit.on_cut_short(m_clock.now - r.began, m_runs.size(), m_clock.now);
     return;
   }
   if (result.end != target_end::answered || target_shed(result)) {
@@ -380,11 +381,19 @@
   return usual + usual / 8;
 }
 
-duration target_stage::expected_wait(priority rank) const {
-  const std::size_t ahead = m_queue.ahead_of(rank) + 1;
+duration target_stage::longest_wait(instant deadline) const {
+  // Half of what is left beside the run itself: estimates are rough, and a
+  // line as long as everybody's patience answers nobody in time.
+  const duration spare = deadline - m_clock.now - time_to_serve();
+  return std::max(spare, duration(0)) / 2;
+}
+
+duration target_stage::expected_wait(const wire::callT& request) const {
+  const std::size_t ahead =
+      m_queue.ahead_of(rank_of(request), request.team, request.weight) + 1;
   const duration each = std::max(m_limit.recent_latency(), duration(1));
-  const std::size_t rounds = ahead / std::max<std::size_t>(1, m_limit.limit());
-  return each * static_cast<int>(rounds + 1);
+  return each * static_cast<int>(ahead) /
+         static_cast<int>(std::max<std::size_t>(1, m_limit.limit()));
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -138,7 +138,8 @@
   bool suspect_running() const { return m_suspect_run != 0; }
   std::size_t queue_capacity() const;
   duration time_to_serve() const;
-  duration expected_wait(priority rank) const;
+  duration longest_wait(instant deadline) const;
+  duration expected_wait(const wire::callT& request) const;
 
   target_options m_options;
   target_hooks m_hooks;
