--- /dev/null
+++ b/bench/added_latency.py
@@ -0,0 +1,66 @@
+#!/usr/bin/env python3
+"""Latency that nodes add to a call, side by side with direct calls.
+
+Two equal loads run at the same time: one straight to the targets, one
+through the nodes, whose callers meet the right node by chance only.
+"""
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "tools"))
+import demo_fleet  # noqa: E402
+
+RATE = 200
+SECONDS = 15
+CONTRACT = """
+team: team-a
+rate_per_s: 5000
+burst: 2000
+routes:
+  - {service: orders, path: /list}
+"""
+
+
+def load(ports, path, key):
+    command = [str(demo_fleet.BUILD / "bench" / "load"), "--seconds",
+               str(SECONDS), "--stream", f"s,{key},{path},{RATE}"]
+    for port in ports:
+        command += ["--url", f"http://127.0.0.1:{port}"]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+def main():
+    fleet = demo_fleet.Fleet()
+    try:
+        fleet.start()
+        fleet.wait_ready()
+        with tempfile.NamedTemporaryFile("w", suffix=".yaml") as f:
+            f.write(CONTRACT)
+            f.flush()
+            fleet.operate("contract", "apply", f.name, check=True)
+        key = fleet.issue_key("team-a")
+        time.sleep(3)
+        orders = [n for n in fleet.nodes if n.service == "orders"]
+        for warm_up in (True, False):
+            direct = load([n.target for n in orders], "/list", "")
+            through = load([n.callers for n in orders], "/orders/list", key)
+            results = {name: json.loads(p.stdout.read())[0]
+                       for name, p in (("direct", direct),
+                                       ("through", through))}
+        for name, r in results.items():
+            print(f"{name:8} sent {r['sent']} good {r['good']} "
+                  f"p50 {r['p50_ms']:.3f} ms p99 {r['p99_ms']:.3f} ms")
+        for p in ("p50_ms", "p99_ms"):
+            print(f"added {p[:3]}: "
+                  f"{results['through'][p] - results['direct'][p]:.3f} ms")
+    finally:
+        fleet.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -80,14 +80,14 @@
   /// Poisson arrivals; callers resend up to `resends` times.
   void offer(const std::string& secret, const std::string& path, double per_s,
              duration span, counts& into, int resends) {
-    streams.push_back(
+    m_streams.push_back(
         {secret, path, per_s, f.time.now() + span, &into, resends});
   }
 
   void run_for(duration span) {
     const instant end = f.time.now() + span;
     while (f.time.now() < end) {
-      for (const stream& s : streams) {
+      for (const stream& s : m_streams) {
         if (f.time.now() >= s.until) {
           continue;
         }
@@ -136,7 +136,7 @@
         caller_patience);
   }
 
-  std::vector<stream> streams;
+  std::vector<stream> m_streams;
 };
 
 double goodput(const deployment& d, bool plain, double load) {
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -72,7 +72,7 @@
   std::vector<config_item> items;
   for (int i = 0; i < n; ++i) {
     const std::string team = "team-" + std::to_string(i);
-    const std::uint64_t sequence = static_cast<std::uint64_t>(2 * i) + 1;
+    const std::uint64_t sequence = 2 * static_cast<std::uint64_t>(i) + 1;
     items.push_back(
         {"contract/" + team, to_json(simple_contract(team, 10, 10)), sequence});
     items.push_back({"key/k" + std::to_string(i),
@@ -82,7 +82,7 @@
                          .dump(),
                      sequence + 1});
   }
-  c.apply(items, 0, 2 * n);
+  c.apply(items, 0, 2UL * n);
   items.clear();
   items.shrink_to_fit();
   std::printf("team with a contract of 3 routes and a key: %.0f bytes\n",
--- a/src/kingcupslip/cli/yaml_to_json.cpp
+++ b/src/kingcupslip/cli/yaml_to_json.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 json scalar_to_json(const YAML::Node& n) {
-  const std::string text = n.Scalar();
+  const std::string& text = n.Scalar();
   if (n.Tag() == "!") {
     // Quoted: a text, whatever it looks like.
     return text;
--- a/src/kingcupslip/core/config_sync.cpp
+++ b/src/kingcupslip/core/config_sync.cpp
@@ -197,6 +197,7 @@
                    return;
                  }
                  std::vector<config_item> items;
+                 items.reserve(rows.size());
                  for (const table_row& it : rows) {
                    items.push_back(parse_change(it.value).item);
                  }
--- a/src/kingcupslip/core/entry_stage.hpp
+++ b/src/kingcupslip/core/entry_stage.hpp
@@ -103,8 +103,7 @@
   /// must not claim that an order which ran has not.
   void refuse(caller_request request, const admission& a,
               const std::string& service, const std::string& path,
-              const tally_key& counted, const outcome& o,
-              outcome_handler done);
+              const tally_key& counted, const outcome& o, outcome_handler done);
   void pass(caller_request request, const admission& a,
             const std::string& service, const std::string& path,
             const tally_key& counted, outcome_handler done);
--- a/src/kingcupslip/core/fleet_agent.cpp
+++ b/src/kingcupslip/core/fleet_agent.cpp
@@ -295,7 +295,7 @@
 }
 
 void fleet_agent::tick_lease() {
-  const bool needed = !m_leaving || m_parts.slots.all().size() > 0;
+  const bool needed = !m_leaving || !m_parts.slots.all().empty();
   if (!needed) {
     return;
   }
--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -8,7 +8,6 @@
       {event_id::node_started, "node_started", event_level::info},
       {event_id::node_draining, "node_draining", event_level::info},
       {event_id::node_stopped, "node_stopped", event_level::info},
-      {event_id::settings_refused, "settings_refused", event_level::error},
       {event_id::target_announced, "target_announced", event_level::info},
       {event_id::target_silent, "target_silent", event_level::warning},
       {event_id::target_crashed, "target_crashed", event_level::warning},
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -18,7 +18,6 @@
   node_started = 100,
   node_draining = 101,
   node_stopped = 102,
-  settings_refused = 103,
   target_announced = 200,
   target_silent = 201,
   target_crashed = 202,
--- a/src/kingcupslip/core/member_table.cpp
+++ b/src/kingcupslip/core/member_table.cpp
@@ -26,6 +26,13 @@
   return {m.incarnation, m.beat, m.state};
 }
 
+/// Rendezvous hashing: the highest place among nodes wins the subject.
+std::uint64_t place_of(std::string subject, const std::string& node) {
+  subject += '@';
+  subject += node;
+  return placement_hash(subject);
+}
+
 std::uint32_t tells_for(std::size_t members) {
   std::uint32_t n = 3;
   while (members > 1) {
@@ -152,7 +159,7 @@
     }
   }
   while (!m_probe_order.empty()) {
-    const std::string it = m_probe_order.back();
+    std::string it = m_probe_order.back();
     m_probe_order.pop_back();
     const member* m = find(it);
     if (m != nullptr && m->usable() && it != m_self) {
@@ -268,9 +275,8 @@
 std::string member_table::preferred(const std::string& subject,
                                     const std::string& data_centre) const {
   const std::string other = preferred_other(subject, data_centre);
-  const std::uint64_t mine = placement_hash(subject + "@" + m_self);
-  const bool mine_wins =
-      other.empty() || mine >= placement_hash(subject + "@" + other);
+  const std::uint64_t mine = place_of(subject, m_self);
+  const bool mine_wins = other.empty() || mine >= place_of(subject, other);
   return mine_wins ? m_self : other;
 }
 
@@ -280,7 +286,7 @@
   std::string best;
   std::uint64_t most = 0;
   for (const std::string& it : usable(data_centre)) {
-    const std::uint64_t h = placement_hash(subject + "@" + it);
+    const std::uint64_t h = place_of(subject, it);
     if (it != m_self && (best.empty() || h > most)) {
       most = h;
       best = it;
@@ -291,10 +297,10 @@
 
 std::size_t
 member_table::rank_in_data_centre(const std::string& subject) const {
-  const std::uint64_t mine = placement_hash(subject + "@" + m_self);
+  const std::uint64_t mine = place_of(subject, m_self);
   std::size_t n = 0;
   for (const std::string& it : usable(m_data_centre)) {
-    n += placement_hash(subject + "@" + it) > mine ? 1 : 0;
+    n += place_of(subject, it) > mine ? 1 : 0;
   }
   return n;
 }
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -374,6 +374,13 @@
   }
   m_local.set_out(m_config.target_out(m_options.self.node) ||
                   m_config.data_centre_out(m_options.self.data_centre));
+  const bool stale = m_sync.ready() &&
+                     m_sync.age(m_clock.now) > m_options.entry.confirmed_within;
+  if (stale && !m_logged_stale) {
+    m_hooks.log(event_id::config_stale,
+                {{"sequence", std::to_string(m_config.sequence())}});
+  }
+  m_logged_stale = stale;
   if (m_config.sequence() != m_logged_sequence) {
     m_logged_sequence = m_config.sequence();
     m_hooks.log(event_id::config_applied,
--- a/src/kingcupslip/core/node.hpp
+++ b/src/kingcupslip/core/node.hpp
@@ -132,6 +132,7 @@
   std::map<std::uint64_t, report_pull> m_reports;
   std::uint64_t m_next_report = 0;
   std::uint64_t m_logged_sequence = 0;
+  bool m_logged_stale = false;
   instant m_drain_at{0};
   instant m_leave_at{0};
   bool m_drain_began = false;
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -340,7 +340,7 @@
     m_loss.reset();
   }
   if (!m_loss) {
-    m_loss.emplace();
+    m_loss = loss{};
     m_loss->at = m_clock.now;
     m_loss->instance = m_instance;
     for (const std::pair<const std::uint64_t, run>& it : m_runs) {
@@ -359,6 +359,12 @@
     m_crashes.on_crash(m_loss->in_flight, m_clock.now);
     m_hooks.log(event_id::target_crashed,
                 {{"in_flight", std::to_string(m_loss->in_flight.size())}});
+    for (const std::uint64_t digest : m_loss->in_flight) {
+      if (m_crashes.condemned(digest, m_clock.now)) {
+        m_hooks.log(event_id::request_quarantined,
+                    {{"digest", std::to_string(digest)}});
+      }
+    }
   }
   m_loss.reset();
 }
--- a/src/kingcupslip/daemon/admin_listener.cpp
+++ b/src/kingcupslip/daemon/admin_listener.cpp
@@ -32,8 +32,7 @@
 public:
   state(io_loop& loop, admin_service& service, const std::string& url)
       : m_loop(loop), m_service(service), m_listener(url) {
-    m_listener.support(
-        [this](rest::http_request r) { on_request(std::move(r)); });
+    m_listener.support([this](const rest::http_request& r) { on_request(r); });
     m_listener.open().wait();
   }
 
--- a/src/kingcupslip/daemon/settings.cpp
+++ b/src/kingcupslip/daemon/settings.cpp
@@ -43,8 +43,8 @@
 /// Reads one map of the file; remembers which keys were asked for.
 class map_reader {
 public:
-  map_reader(YAML::Node node, std::string where, settings_faults& faults)
-      : m_node(std::move(node)), m_where(std::move(where)), m_faults(faults) {}
+  map_reader(const YAML::Node& node, std::string where, settings_faults& faults)
+      : m_node(node), m_where(std::move(where)), m_faults(faults) {}
 
   YAML::Node child(const std::string& key) {
     m_known.insert(key);
@@ -65,7 +65,7 @@
 
   std::string name(const std::string& key) {
     const std::string expected = "a name of 1 to 63 of a-z, 0-9 and -";
-    const std::string out = text(key, true, expected);
+    std::string out = text(key, true, expected);
     if (!out.empty() && !is_valid_name(out)) {
       fault(key, child(key), expected);
     }
@@ -75,7 +75,7 @@
   std::string secret(const std::string& key) {
     const std::string expected =
         "a secret of at least " + std::to_string(least_secret) + " characters";
-    const std::string out = text(key, true, expected);
+    std::string out = text(key, true, expected);
     if (!out.empty() && out.size() < least_secret) {
       fault(key, child(key), expected);
     }
--- a/src/kingcupslip/net/peer_network.cpp
+++ b/src/kingcupslip/net/peer_network.cpp
@@ -113,7 +113,7 @@
   if (!to) {
     return nullptr;
   }
-  const std::shared_ptr<peer_session> s =
+  std::shared_ptr<peer_session> s =
       std::make_shared<peer_session>(*this, tcp::socket(m_loop), node);
   m_all[s.get()] = s;
   m_by_node[node] = s;
