Shares follow moved demand; slow floors are believed only when drained

Cause 1: nodes that waited for a share learned only at their next, backed-off look that a holder had given some up. Cause 2: after the overshoot at a cold start, requests of before the cuts made latency look unmoved, so a congested latency became a target's floor and its limit stayed at twice its slots.

Ruled out: a shorter backoff (more reads of the table by every greedy team); the balancer for cause 2 (limits differed, load did not).

Change: a holder that gives up a part hints those that hold less than is due; a holder counts as quiet after six missing requests instead of eight; a slow floor needs the window's requests in flight to be down at the limit.

--- a/src/kingcupslip/core/concurrency_limit.cpp
+++ b/src/kingcupslip/core/concurrency_limit.cpp
@@ -43,7 +43,7 @@
   }
   m_window_sum += latency;
   ++m_window_count;
-  m_window_saturated |= in_flight >= limit();
+  m_window_peak = std::max(m_window_peak, in_flight);
   const bool long_enough = now - m_window_began >= window_span;
   const bool full = m_window_count >= window_samples;
   if (full || (long_enough && m_window_count * 2 >= window_samples)) {
@@ -74,16 +74,17 @@
   m_recent = duration(0);
   m_window_count = 0;
   m_window_sum = duration(0);
-  m_window_saturated = false;
+  m_window_peak = 0;
   m_cut_limit = 0;
 }
 
 void concurrency_limit::close_window(instant now) {
   const duration mean = m_window_sum / static_cast<int>(m_window_count);
-  const bool saturated = m_window_saturated;
+  const std::size_t peak = m_window_peak;
+  const bool saturated = peak >= limit();
   m_window_count = 0;
   m_window_sum = duration(0);
-  m_window_saturated = false;
+  m_window_peak = 0;
   m_recent = mean;
   if (m_floor == duration(0) || mean < m_floor) {
     m_floor = mean;
@@ -100,8 +101,13 @@
       m_cut_limit = m_limit;
       m_cut_latency = mean;
     }
+    if (slow_below(mean, peak)) {
+      m_floor = mean;
+      m_limit = std::max(1.0, m_cut_limit / 2);
+      m_cut_limit = 0;
+      return;
+    }
     shrink(std::max(deepest_cut, shrink_above / congestion));
-    recognise_slow_floor(mean);
     return;
   }
   m_cut_limit = 0;
@@ -128,15 +134,12 @@
   m_limit = std::max(1.0, m_limit * factor);
 }
 
-void concurrency_limit::recognise_slow_floor(duration mean) {
+bool concurrency_limit::slow_below(duration mean, std::size_t peak) const {
   // Latency that does not fall when the limit is quartered is not caused by
   // this queue: something below became slow, and more cuts only lose work.
+  // It says so only once the requests of before the cuts have gone.
   const bool cut_deeply = m_limit <= std::max(1.0, m_cut_limit / 4);
-  if (cut_deeply && ratio(mean, m_cut_latency) > 0.7) {
-    m_floor = mean;
-    m_limit = std::max(1.0, m_cut_limit / 2);
-    m_cut_limit = 0;
-  }
+  return cut_deeply && peak <= limit() && ratio(mean, m_cut_latency) > 0.7;
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/concurrency_limit.hpp
+++ b/src/kingcupslip/core/concurrency_limit.hpp
@@ -42,7 +42,7 @@
   void close_window(instant now);
   void grow();
   void shrink(double factor);
-  void recognise_slow_floor(duration mean);
+  bool slow_below(duration mean, std::size_t peak) const;
 
   double m_maximum;
   double m_limit;
@@ -52,7 +52,7 @@
   instant m_window_began{0};
   duration m_window_sum{0};
   std::size_t m_window_count = 0;
-  bool m_window_saturated = false;
+  std::size_t m_window_peak = 0; ///< most requests in flight
   instant m_no_backoff_before{0};
   instant m_no_growth_before{0};
   /// Latency when the present run of cuts began, and the limit then.
--- a/src/kingcupslip/core/share_book.cpp
+++ b/src/kingcupslip/core/share_book.cpp
@@ -16,8 +16,8 @@
 constexpr duration most_spacing = std::chrono::milliseconds(1600);
 /// A team that asked nothing for as long as several requests should have
 /// taken wants no share any more; what is held stays until a node wants it.
-constexpr double quiet_requests = 8;
-constexpr double least_quiet_s = 0.2;
+constexpr double quiet_requests = 6;
+constexpr double least_quiet_s = 0.1;
 constexpr double most_quiet_s = 2;
 /// A holder that got a hint has given up its part by then.
 constexpr duration after_hint = std::chrono::milliseconds(40);
@@ -246,14 +246,18 @@
   s.held = std::min({s.held, target, on_record});
   apply(team, s, began);
   mine.held = target;
-  std::vector<std::string> in_the_way;
-  if (target < due[index]) {
-    for (std::size_t i = 0; i < row.entries.size(); ++i) {
-      const share_entry& it = row.entries[i];
-      if (i != index && it.held > due[i]) {
-        in_the_way.push_back(it.lease);
-      }
+  // Who holds more than is due stands in this node's way; who holds less is
+  // waiting for what this node gives up.
+  std::vector<std::string> concerned;
+  for (std::size_t i = 0; i < row.entries.size(); ++i) {
+    const share_entry& it = row.entries[i];
+    const bool in_the_way = target < due[index] && it.held > due[i];
+    const bool waiting = target < on_record && it.held < due[i];
+    if (i != index && (in_the_way || waiting)) {
+      concerned.push_back(it.lease);
     }
+  }
+  if (target < due[index]) {
     reclaim(team, row);
   }
   if (want == 0 && target == 0) {
@@ -265,21 +269,21 @@
   if (to_json(row) == before) {
     s.held = target;
     s.busy = false;
-    for (const std::string& it : in_the_way) {
+    for (const std::string& it : concerned) {
       m_hint(it, team);
     }
     return;
   }
-  commit(team, version, row, target, in_the_way);
+  commit(team, version, row, target, concerned);
 }
 
 void share_book::commit(const std::string& team, std::uint64_t version,
                         const share_row& row, std::uint32_t held_after,
-                        const std::vector<std::string>& in_the_way) {
+                        const std::vector<std::string>& concerned) {
   const std::string lease = m_lease.id();
   table_transaction writes{{row_key(team), version, to_json(row), false},
                            {lease, m_lease.version(), std::nullopt, true}};
-  m_table.commit(std::move(writes), [this, team, lease, held_after, in_the_way](
+  m_table.commit(std::move(writes), [this, team, lease, held_after, concerned](
                                         table_status status, std::uint64_t) {
     team_share& s = m_teams[team];
     s.busy = false;
@@ -293,9 +297,9 @@
     s.conflicts = 0;
     s.spacing = held_after > s.held ? duration(0) : s.spacing;
     s.held = held_after;
-    // Only now does the row say what this node wants: a holder that
-    // looked earlier would see no reason to give anything up.
-    for (const std::string& it : in_the_way) {
+    // Only now does the row say what this node wants or gives up: who
+    // looked earlier would see no reason to move.
+    for (const std::string& it : concerned) {
       m_hint(it, team);
       s.settle_at = m_now + after_hint;
     }
--- a/src/kingcupslip/core/share_book.hpp
+++ b/src/kingcupslip/core/share_book.hpp
@@ -96,7 +96,7 @@
                         bool floor_stays);
   void commit(const std::string& team, std::uint64_t version,
               const share_row& row, std::uint32_t held_after,
-              const std::vector<std::string>& in_the_way);
+              const std::vector<std::string>& concerned);
   void after_conflict(team_share& s);
 
   const lease_holder& m_lease;
