--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -55,6 +55,11 @@
         for name, r in results.items():
             print(f"{name:8} sent {r['sent']} good {r['good']} "
                   f"p50 {r['p50_ms']:.3f} ms p99 {r['p99_ms']:.3f} ms")
+        for node in orders:
+            text = demo_fleet.fetch(fleet.node_url(node) + "/-/metrics")[1]
+            limit = [line for line in text.split("\n")
+                     if line.startswith("kingcupslip_target_limit ")]
+            print(f"{node.name}: {limit[0]}")
         for p in ("p50_ms", "p99_ms"):
             print(f"added {p[:3]}: "
                   f"{results['through'][p] - results['direct'][p]:.3f} ms")
--- a/src/kingcupslip/core/admission_queue.cpp
+++ b/src/kingcupslip/core/admission_queue.cpp
@@ -53,8 +53,8 @@
     n += m_ranks[i].size;
   }
   const std::map<std::string, line>& teams = m_ranks[index_of(rank)].teams;
-  const auto own = teams.find(team);
-  const std::size_t mine = own == teams.end() ? 0 : own->second.size();
+  const auto own_it = teams.find(team);
+  const std::size_t mine = own_it == teams.end() ? 0 : own_it->second.size();
   const double turns =
       static_cast<double>(mine + 1) / std::max<std::uint32_t>(1, weight);
   for (const std::pair<const std::string, line>& it : teams) {
@@ -150,23 +150,24 @@
   std::deque<waiting_request>& part =
       l.impatient.empty() ? l.patient : l.impatient;
   // Impatient callers are served newest first, so their oldest gives way.
-  const auto victim =
+  const auto victim_it =
       l.impatient.empty() ? std::prev(part.end()) : part.begin();
   if (newcomer != nullptr) {
-    const auto own = lines.teams.find(newcomer->team);
-    const std::size_t mine = own == lines.teams.end() ? 0 : own->second.size();
+    const auto own_it = lines.teams.find(newcomer->team);
+    const std::size_t mine =
+        own_it == lines.teams.end() ? 0 : own_it->second.size();
     const double my_load = static_cast<double>(mine + 1) / newcomer->weight;
     const bool over_its_share =
         fullest->first != newcomer->team && most > my_load;
-    const bool deeper = newcomer->depth > victim->depth;
+    const bool deeper = newcomer->depth > victim_it->depth;
     const bool fresher = newcomer->wait == patience::impatient &&
-                         victim->wait == patience::impatient;
+                         victim_it->wait == patience::impatient;
     if (!over_its_share && !deeper && !fresher) {
       return false;
     }
   }
-  shed.push_back({victim->id, reason::shed});
-  part.erase(victim);
+  shed.push_back({victim_it->id, reason::shed});
+  part.erase(victim_it);
   if (l.size() == 0) {
     lines.teams.erase(fullest);
   }
--- a/src/kingcupslip/core/configuration.cpp
+++ b/src/kingcupslip/core/configuration.cpp
@@ -40,9 +40,9 @@
     return false;
   }
   for (const config_item& it : items) {
-    const auto known = m_items.find(it.key);
+    const auto known_it = m_items.find(it.key);
     const bool newer =
-        known == m_items.end() || known->second.sequence < it.sequence;
+        known_it == m_items.end() || known_it->second.sequence < it.sequence;
     if (newer) {
       m_items[it.key] = it;
       apply_item(it);
@@ -121,9 +121,7 @@
 void configuration::apply_item(const config_item& item) {
   const std::string_view key = item.key;
   if (starts_with(key, contract_prefix)) {
-    boost::outcome_v2::result<contract, document_faults,
-                              boost::outcome_v2::policy::terminate>
-        parsed = parse_contract(item.value);
+    contract_result parsed = parse_contract(item.value);
     if (parsed.has_value()) {
       m_contracts[parsed.value().team] = std::move(parsed.value());
       m_services.clear();
--- a/src/kingcupslip/core/contract_codec.cpp
+++ b/src/kingcupslip/core/contract_codec.cpp
@@ -186,9 +186,7 @@
          std::all_of(name.begin(), name.end(), allowed);
 }
 
-boost::outcome_v2::result<contract, document_faults,
-                          boost::outcome_v2::policy::terminate>
-parse_contract(std::string_view json_text) {
+contract_result parse_contract(std::string_view json_text) {
   document_faults faults;
   const json object = json::parse(json_text, nullptr, false);
   if (!object.is_object()) {
--- a/src/kingcupslip/core/contract_codec.hpp
+++ b/src/kingcupslip/core/contract_codec.hpp
@@ -19,10 +19,12 @@
 
 using document_faults = std::vector<document_fault>;
 
+using contract_result =
+    boost::outcome_v2::result<contract, document_faults,
+                              boost::outcome_v2::policy::terminate>;
+
 /// Parses and checks a contract. Unknown keys are faults.
-boost::outcome_v2::result<contract, document_faults,
-                          boost::outcome_v2::policy::terminate>
-parse_contract(std::string_view json_text);
+contract_result parse_contract(std::string_view json_text);
 
 /// The contract as one JSON object that `parse_contract` accepts.
 std::string to_json(const contract& c);
--- a/src/kingcupslip/core/fleet_agent.cpp
+++ b/src/kingcupslip/core/fleet_agent.cpp
@@ -411,9 +411,9 @@
 void fleet_agent::hand_over_now(std::uint32_t slot) {
   handover& h = m_handovers[slot];
   const std::string to = successor(slot, h.tried);
-  const auto held = m_parts.slots.all().find(slot);
+  const auto held_it = m_parts.slots.all().find(slot);
   if (to.empty() || h.tried.size() >= most_successors_tried ||
-      held == m_parts.slots.all().end()) {
+      held_it == m_parts.slots.all().end()) {
     // Nobody took the memory: the slot falls free with the lease, and its
     // next owner knows that it knows nothing.
     m_handovers.erase(slot);
@@ -424,8 +424,8 @@
   h.to_node = to;
   h.to_lease = m_parts.members.find(to)->info.lease;
   wire::payloadUnion body;
-  body.Set(m_parts.owner.pack(slot, held->second.epoch + 1,
-                              held->second.complete_since));
+  body.Set(m_parts.owner.pack(slot, held_it->second.epoch + 1,
+                              held_it->second.complete_since));
   m_parts.send(to, std::move(body));
 }
 
@@ -482,9 +482,9 @@
 
 void fleet_agent::tell_members() {
   for (const std::pair<const std::string, member>& it : m_parts.members.all()) {
-    const auto told = m_told_states.find(it.first);
+    const auto told_it = m_told_states.find(it.first);
     const member_state s = it.second.state();
-    if (told != m_told_states.end() && told->second == s) {
+    if (told_it != m_told_states.end() && told_it->second == s) {
       continue;
     }
     m_told_states[it.first] = s;
--- a/src/kingcupslip/core/lease.cpp
+++ b/src/kingcupslip/core/lease.cpp
@@ -250,12 +250,12 @@
     }
     return;
   }
-  const auto promised = m_promises.find(row.key);
-  if (promised != m_promises.end()) {
-    if (now < promised->second) {
+  const auto promised_it = m_promises.find(row.key);
+  if (promised_it != m_promises.end()) {
+    if (now < promised_it->second) {
       return;
     }
-    m_promises.erase(promised);
+    m_promises.erase(promised_it);
   }
   const bool allowed = r.heir.empty() || lost || r.heir == m_self;
   const duration wait = (allowed ? lease_span : hold_over) + lease_margin;
--- a/src/kingcupslip/core/quarantine.cpp
+++ b/src/kingcupslip/core/quarantine.cpp
@@ -93,13 +93,13 @@
   if (m_entries.size() < most_entries) {
     return;
   }
-  const auto oldest =
+  const auto oldest_it =
       std::min_element(m_entries.begin(), m_entries.end(),
                        [](const std::pair<const std::uint64_t, entry>& a,
                           const std::pair<const std::uint64_t, entry>& b) {
                          return a.second.expires < b.second.expires;
                        });
-  m_entries.erase(oldest);
+  m_entries.erase(oldest_it);
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/daemon/admin_service.cpp
+++ b/src/kingcupslip/daemon/admin_service.cpp
@@ -133,9 +133,7 @@
     handler(fault(405, "GET or PUT"));
     return;
   }
-  const boost::outcome_v2::result<contract, document_faults,
-                                  boost::outcome_v2::policy::terminate>
-      parsed = parse_contract(r.body);
+  const contract_result parsed = parse_contract(r.body);
   if (!parsed.has_value()) {
     handler(answer(400, {{"error", "the contract has faults"},
                          {"faults", faults_to_json(parsed.error())}}));
--- a/src/kingcupslip/daemon/settings.cpp
+++ b/src/kingcupslip/daemon/settings.cpp
@@ -199,9 +199,7 @@
 
 } // namespace
 
-boost::outcome_v2::result<node_settings, settings_faults,
-                          boost::outcome_v2::policy::terminate>
-parse_settings(const std::string& yaml_text) {
+settings_result parse_settings(const std::string& yaml_text) {
   settings_faults faults;
   YAML::Node root;
   try {
--- a/src/kingcupslip/daemon/settings.hpp
+++ b/src/kingcupslip/daemon/settings.hpp
@@ -56,11 +56,13 @@
 
 using settings_faults = std::vector<settings_fault>;
 
+using settings_result =
+    boost::outcome_v2::result<node_settings, settings_faults,
+                              boost::outcome_v2::policy::terminate>;
+
 /// Reads settings from YAML text. Every fault is reported, unknown keys
 /// included.
-boost::outcome_v2::result<node_settings, settings_faults,
-                          boost::outcome_v2::policy::terminate>
-parse_settings(const std::string& yaml_text);
+settings_result parse_settings(const std::string& yaml_text);
 
 /// "FILE:LINE: KEY: expected EXPECTED", one line per fault.
 std::string to_text(const settings_faults& faults, const std::string& file);
--- a/src/programs/kingcupslipd.cpp
+++ b/src/programs/kingcupslipd.cpp
@@ -28,9 +28,7 @@
   }
   std::ostringstream text;
   text << in.rdbuf();
-  const boost::outcome_v2::result<node_settings, settings_faults,
-                                  boost::outcome_v2::policy::terminate>
-      settings = parse_settings(text.str());
+  const settings_result settings = parse_settings(text.str());
   if (!settings.has_value()) {
     std::cerr << to_text(settings.error(), file);
     return exit_bad_settings;
--- a/tests/core/catalogue_test.cpp
+++ b/tests/core/catalogue_test.cpp
@@ -10,14 +10,14 @@
 
 using namespace kingcupslip;
 
-TEST_GROUP(catalogue) {
-  static std::string page(const std::string& name) {
+TEST_GROUP(catalogue){static std::string page(const std::string& name){
     std::ifstream in(std::string(BASELINES_DIR) + "/../../docs/" + name);
-    std::ostringstream out;
-    out << in.rdbuf();
-    return out.str();
-  }
-};
+std::ostringstream out;
+out << in.rdbuf();
+return out.str();
+}
+}
+;
 
 TEST(catalogue, every_reason_is_on_the_callers_page_with_its_status) {
   const std::string text = page("callers.md");
--- a/tests/core/parts_test.cpp
+++ b/tests/core/parts_test.cpp
@@ -212,7 +212,7 @@
 }
 
 TEST(parts, every_fault_of_a_contract_is_named) {
-  const auto parsed = parse_contract(
+  const contract_result parsed = parse_contract(
       R"({"team":"A!","rate_per_s":-1,"burst":10,"colour":1,
           "routes":[{"service":"s","priority":"urgent"}]})");
   CHECK_FALSE(parsed.has_value());
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -21,7 +21,7 @@
 }
 
 static std::string faults_of(const std::string& text) {
-  const auto r = parse_settings(text);
+  const settings_result r = parse_settings(text);
   return r.has_value() ? "none\n" : to_text(r.error(), "node.yaml");
 }
 }
--- a/tests/standins/table_store.hpp
+++ b/tests/standins/table_store.hpp
@@ -30,8 +30,9 @@
   /// `version` is what the rows written got.
   table_status commit(const table_transaction& writes, std::uint64_t& version) {
     for (const table_write& it : writes) {
-      const auto row = m_rows.find(it.key);
-      const std::uint64_t now = row == m_rows.end() ? 0 : row->second.version;
+      const auto row_it = m_rows.find(it.key);
+      const std::uint64_t now =
+          row_it == m_rows.end() ? 0 : row_it->second.version;
       if (now != it.expected_version) {
         return table_status::conflict;
       }
