Leases of a data centre that is lost whole are swept

Cause: only a data centre's own nodes swept its leases and its heirs are in it, so the key slots of a lost data centre would never have come back.

An unused parameter of the sweeper is gone.

--- a/src/kingcupslip/core/fleet_agent.cpp
+++ b/src/kingcupslip/core/fleet_agent.cpp
@@ -18,6 +18,7 @@
 constexpr duration gossip_period = std::chrono::seconds(1);
 constexpr duration slots_period = std::chrono::seconds(1);
 constexpr duration sweep_period = std::chrono::seconds(30);
+constexpr duration fleet_sweep_period = std::chrono::minutes(5);
 constexpr duration report_period = std::chrono::seconds(30);
 constexpr duration join_retry = std::chrono::seconds(1);
 /// Membership settles for this long before slots are taken.
@@ -49,7 +50,8 @@
     m_report_at = m_clock.now + report_period;
   }
   if (!m_joined && m_clock.now >= m_join_at) {
-    m_join_at = m_clock.now + join_retry;
+    const std::uint64_t jitter = m_parts.random() % 1'000'000;
+    m_join_at = m_clock.now + join_retry + duration(jitter);
     join();
   }
   m_parts.members.tick(m_clock.now);
@@ -351,8 +353,15 @@
     return;
   }
   m_sweep_at = m_clock.now + sweep_period;
-  if (m_parts.members.rank_in_data_centre("lease-sweeper") == 0) {
-    m_parts.sweeper.sweep(m_parts.self.data_centre, false, m_clock.now);
+  // A data centre that is lost with all its nodes has nobody to sweep it.
+  const bool fleet_duty =
+      m_clock.now >= m_fleet_sweep_at &&
+      m_parts.members.preferred("fleet-sweeper") == m_parts.self.node;
+  if (fleet_duty) {
+    m_fleet_sweep_at = m_clock.now + fleet_sweep_period;
+    m_parts.sweeper.sweep("", m_clock.now);
+  } else if (m_parts.members.rank_in_data_centre("lease-sweeper") == 0) {
+    m_parts.sweeper.sweep(m_parts.self.data_centre, m_clock.now);
   }
 }
 
--- a/src/kingcupslip/core/fleet_agent.hpp
+++ b/src/kingcupslip/core/fleet_agent.hpp
@@ -100,6 +100,7 @@
   instant m_gossip_at{0};
   instant m_slots_at{0};
   instant m_sweep_at{0};
+  instant m_fleet_sweep_at{0};
   instant m_report_at{0};
   instant m_join_at{0};
   instant m_handover_at{0};
--- a/src/kingcupslip/core/lease.cpp
+++ b/src/kingcupslip/core/lease.cpp
@@ -159,25 +159,25 @@
 lease_sweeper::lease_sweeper(std::string self, table_hooks table)
     : m_self(std::move(self)), m_table(std::move(table)) {}
 
-void lease_sweeper::sweep(const std::string& data_centre, bool lost,
-                          instant now) {
+void lease_sweeper::sweep(const std::string& data_centre, instant now) {
   if (m_busy) {
     return;
   }
   m_busy = true;
-  const std::string prefix = std::string(lease_prefix) + data_centre + "/";
-  m_table.read({prefix, "", 10'000},
-               [this, lost, now](table_status status,
-                                 const std::vector<table_row>& rows) {
-                 m_busy = false;
-                 if (status != table_status::ok) {
-                   stand_still();
-                   return;
-                 }
-                 for (const table_row& it : rows) {
-                   look_at(it, lost, now);
-                 }
-               });
+  const std::string prefix = std::string(lease_prefix) + data_centre +
+                             (data_centre.empty() ? "" : "/");
+  m_table.read(
+      {prefix, "", 10'000},
+      [this, now](table_status status, const std::vector<table_row>& rows) {
+        m_busy = false;
+        if (status != table_status::ok) {
+          stand_still();
+          return;
+        }
+        for (const table_row& it : rows) {
+          look_at(it, now);
+        }
+      });
 }
 
 bool lease_sweeper::promise(const std::string& lease_id, instant now) {
@@ -218,7 +218,7 @@
       m_wards.erase(lease_id);
       return;
     }
-    look_at(rows.front(), false, now);
+    look_at(rows.front(), now);
   });
 }
 
@@ -230,7 +230,7 @@
   }
 }
 
-void lease_sweeper::look_at(const table_row& row, bool lost, instant now) {
+void lease_sweeper::look_at(const table_row& row, instant now) {
   watched& w = m_watched[row.key];
   if (w.version != row.version) {
     w = watched{row.version, std::nullopt, false};
@@ -257,7 +257,7 @@
     }
     m_promises.erase(promised_it);
   }
-  const bool allowed = r.heir.empty() || lost || r.heir == m_self;
+  const bool allowed = r.heir.empty() || r.heir == m_self;
   const duration wait = (allowed ? lease_span : hold_over) + lease_margin;
   if (still > wait) {
     fence(row, w);
--- a/src/kingcupslip/core/lease.hpp
+++ b/src/kingcupslip/core/lease.hpp
@@ -106,9 +106,9 @@
   /// Reads the rows of wards that have fallen silent.
   void tick(instant now);
 
-  /// Looks at one page of rows; call every few seconds while on duty.
-  /// `lost`: an operator said that all VMs of that data centre are gone.
-  void sweep(const std::string& data_centre, bool lost, instant now);
+  /// Looks at all rows of a data centre; at the whole fleet's where it is
+  /// empty.
+  void sweep(const std::string& data_centre, instant now);
 
   /// This node, as heir, promises not to fence the lease for a while.
   /// False where it has already begun to fence.
@@ -128,7 +128,7 @@
     bool busy = false;
   };
   void read_ward(const std::string& lease_id, ward& w, instant now);
-  void look_at(const table_row& row, bool lost, instant now);
+  void look_at(const table_row& row, instant now);
   void fence(const table_row& row, watched& w);
   void stand_still();
 
--- a/tests/core/at_most_once_test.cpp
+++ b/tests/core/at_most_once_test.cpp
@@ -218,3 +218,11 @@
   }
   LONGS_EQUAL(0, unknown);
 }
+
+TEST(at_most_once, slots_of_a_lost_data_centre_come_back) {
+  build_two_data_centres(f, 1);
+  f.kill("b1");
+  f.run_for(75min);
+  LONGS_EQUAL(slot_count, f.at("a1").slots().all().size());
+  CHECK_TRUE(book("a1", f.mint_key()).ran == verdict::ran);
+}
--- a/tests/core/parts_test.cpp
+++ b/tests/core/parts_test.cpp
@@ -252,7 +252,7 @@
   void sweep(lease_sweeper & s, duration span) {
     const instant end = now + span;
     for (; now < end; now += 1s) {
-      s.sweep("dc", false, now);
+      s.sweep("dc", now);
     }
   }
 };
@@ -288,8 +288,8 @@
     now += 1s;
     CHECK_TRUE(heir.promise(h.id(), now));
     h.on_heir_promise("n2", now);
-    heir.sweep("dc", false, now);
-    other.sweep("dc", false, now);
+    heir.sweep("dc", now);
+    other.sweep("dc", now);
     CHECK_TRUE(h.holds(now));
   }
   CHECK_FALSE(parse_lease(store.read({h.id(), "", 1})[0].value).fenced);
