--- a/tests/standins/target_service.cpp
+++ b/tests/standins/target_service.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t most_waiting = 500;
 constexpr std::chrono::milliseconds announce_period{500};
 constexpr std::chrono::milliseconds drain_span{2500};
+/// How old the load is that a lagging health endpoint tells.
+constexpr std::size_t health_lag_periods = 6;
 
 struct target_settings {
   std::string name;
@@ -40,6 +42,8 @@
   std::uint32_t service_ms = 5;
   std::uint32_t cold_ms = 0; ///< as long, service takes four times as long
   std::string nested;        ///< path of a call made through the node
+  /// What GET /health says: always "idle", or the load of some time ago.
+  std::string health = "lagging";
   std::string log_file;
 };
 
@@ -81,19 +85,46 @@
   struct work {
     caller_request request;
     answer_sender send;
+    instant deadline{0};
   };
 
+  static instant deadline_of(const caller_request& r) {
+    const std::string left = header_of(r, header_names::timeout_ms);
+    return left.empty() ? instant::max()
+                        : read_clocks().now +
+                              std::chrono::milliseconds(std::stoll(left));
+  }
+
+  static outcome not_run() {
+    outcome o;
+    o.ran = verdict::not_run;
+    o.why = reason::shed;
+    o.status = 503;
+    return o;
+  }
+
+  void answer_health(const answer_sender& send) const {
+    const bool lies = m_settings.health == "idle";
+    const std::string load =
+        std::to_string(lies || m_loads.empty() ? 0 : m_loads.front());
+    outcome o;
+    o.ran = verdict::ran;
+    o.status = 200;
+    o.body.assign(load.begin(), load.end());
+    send(o);
+  }
+
   void on_request(const caller_request& r, const answer_sender& send) {
+    if (r.target == "/health") {
+      answer_health(send);
+      return;
+    }
     if (m_waiting.size() >= most_waiting) {
-      outcome o;
-      o.ran = verdict::not_run;
-      o.why = reason::shed;
-      o.status = 503;
-      send(o);
+      send(not_run());
       return;
     }
     m_gone.erase(r.connection);
-    m_waiting.push_back({r, send});
+    m_waiting.push_back({r, send, deadline_of(r)});
     start_next();
   }
 
@@ -101,9 +132,9 @@
     while (m_running < m_settings.slots && !m_waiting.empty()) {
       work w = std::move(m_waiting.front());
       m_waiting.pop_front();
-      if (m_gone.count(w.request.connection) != 0) {
-        // Cancelled before it began.
-        w.send(outcome{});
+      const bool cancelled = m_gone.count(w.request.connection) != 0;
+      if (cancelled || read_clocks().now >= w.deadline) {
+        w.send(not_run());
         continue;
       }
       run(std::move(w));
@@ -189,6 +220,10 @@
 
   void announce() {
     announce_now();
+    m_loads.push_back(m_running + m_waiting.size());
+    if (m_loads.size() > health_lag_periods) {
+      m_loads.pop_front();
+    }
     m_timer.expires_after(announce_period);
     m_timer.async_wait([this](const boost::system::error_code& ec) {
       if (!ec) {
@@ -206,6 +241,7 @@
   http_client m_nested;
   std::deque<work> m_waiting;
   std::map<std::uint64_t, bool> m_gone;
+  std::deque<std::size_t> m_loads; ///< one per announcement, oldest first
   std::uint32_t m_running = 0;
   std::uint64_t m_next = 0;
   bool m_draining = false;
@@ -226,6 +262,8 @@
   app.add_option("--service-ms", s.service_ms);
   app.add_option("--cold-ms", s.cold_ms);
   app.add_option("--nested", s.nested);
+  app.add_option("--health", s.health)
+      ->check(CLI::IsMember({"lagging", "idle"}));
   app.add_option("--log", s.log_file)->required();
   CLI11_PARSE(app, argc, argv);
   io_loop loop;
--- a/tools/demo_fleet.py
+++ b/tools/demo_fleet.py
@@ -240,6 +240,25 @@
                             stdout=subprocess.PIPE, text=True)
 
 
+def start_direct_load(fleet, seconds):
+    """Calls straight to the targets, to compare latencies with."""
+    command = [BUILD / "bench" / "load", "--seconds", seconds,
+               "--stream", "direct,,/list,20"]
+    for node in fleet.nodes:
+        if node.service == "orders":
+            command += ["--url", f"http://127.0.0.1:{node.target}"]
+    return subprocess.Popen([str(c) for c in command],
+                            stdout=subprocess.PIPE, text=True)
+
+
+def print_added_latency(streams, direct):
+    through = next(s for s in streams if s["name"] == "a-list")
+    added = {p: through[p] - direct[p] for p in ("p50_ms", "p99_ms")}
+    print(f"added latency, lists against direct calls: "
+          f"p50 {added['p50_ms']:.2f} ms, p99 {added['p99_ms']:.2f} ms "
+          f"(while every node is replaced)")
+
+
 def rolling_restart(fleet):
     """Replaces all nodes while load runs, one of each data centre at a time;
     the names that did not stop gracefully."""
@@ -273,6 +292,7 @@
 def run_demo(fleet):
     say(f"load for {LOAD_SECONDS} s; team-b at ten times its rate")
     load = start_load(fleet, LOAD_SECONDS)
+    direct_load = start_direct_load(fleet, LOAD_SECONDS)
     time.sleep(3)
     say("replacing every node meanwhile")
     bad = rolling_restart(fleet)
@@ -282,6 +302,7 @@
     streams = json.loads(load.stdout.read())
     print(fleet.operate("report", output="table"))
     print_streams(streams)
+    print_added_latency(streams, json.loads(direct_load.stdout.read())[0])
     wrong = sum(s["lost"] + s["crossed"] + s["untrue"] + s["doubled"]
                 for s in streams)
     good = sum(s["good"] for s in streams)
