--- a/tools/demo_fleet.py
+++ b/tools/demo_fleet.py
@@ -35,14 +35,26 @@
     print(text, file=sys.stderr, flush=True)
 
 
+# Below the range from which the system takes ports for connections, so that
+# no connection can take a port between its choice and its use.
+FIRST_PORT, LAST_PORT = 10_000, 30_000
+_next_port = FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT - 1_000)
+
+
 def free_ports(count):
-    """Ports that were free a moment ago, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Ports that nobody listens on; none is given out twice."""
+    global _next_port
+    ports = []
+    while len(ports) < count:
+        _next_port += 1
+        if _next_port > LAST_PORT:
+            _next_port = FIRST_PORT
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", _next_port))
+            except OSError:
+                continue
+        ports.append(_next_port)
     return ports
 
 
@@ -196,8 +208,12 @@
         codes = {n.name: self.stop_process(n.process) for n in self.nodes}
         bad = [f"{name} (exit {code})" for name, code in codes.items()
                if code != 0]
-        for node in self.nodes:
-            self.stop_process(node.target_process)
+        targets = [n.target_process for n in self.nodes if n.target_process]
+        for process in targets:
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        for process in targets:
+            self.stop_process(process)
         self.stop_process(self.table)
         return bad
 
