--- a/src/programs/kingcupslip.cpp
+++ b/src/programs/kingcupslip.cpp
@@ -45,7 +45,9 @@
 
   void show(const admin_reply& r, const view& as_table) {
     if (r.status == 0) {
-      std::cerr << "no answer from " << url << ": " << r.body << "\n";
+      std::cerr << "no answer from " << url << ": " << r.body
+                << "\nto repeat a change safely: --operation " << operation
+                << "\n";
       code = exit_code::unavailable;
       return;
     }
