Remove what nothing uses; one alias for sending messages

Read once more as a whole: accessors, a constant, an option and members that nothing reads any more are gone, the message hook's type stood in two headers and now stands in its own, and a map that only held true is a set.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -87,8 +87,7 @@
   generator(io_loop& loop, const std::vector<std::string>& urls,
             std::vector<stream_options> streams, std::uint64_t seed)
       : m_loop(loop), m_timer(loop), m_streams(std::move(streams)),
-        m_results(m_streams.size()), m_due(m_streams.size(), 0),
-        m_random(seed) {
+        m_results(m_streams.size()), m_random(seed) {
     for (const std::string& it : urls) {
       const std::size_t slash = it.rfind('/');
       const std::size_t begin = slash == std::string::npos ? 0 : slash + 1;
@@ -192,7 +191,6 @@
   std::vector<std::unique_ptr<http_client>> m_clients;
   std::vector<stream_options> m_streams;
   std::vector<stream_result> m_results;
-  std::vector<double> m_due;
   std::mt19937_64 m_random;
   instant m_until{0};
   instant m_last{0};
--- a/src/kingcupslip/core/answer_memory.hpp
+++ b/src/kingcupslip/core/answer_memory.hpp
@@ -71,7 +71,6 @@
 
   void expire(instant now);
   std::size_t size() const { return m_entries.size(); }
-  std::size_t bytes() const { return m_bytes; }
 
 private:
   std::size_t m_most_entries;
--- a/src/kingcupslip/core/config_sync.cpp
+++ b/src/kingcupslip/core/config_sync.cpp
@@ -133,7 +133,6 @@
 
 void config_sync::poll(instant now) {
   m_busy = true;
-  ++m_reads;
   m_table.read(
       {std::string(config_head_key), "", 1},
       [this, now](table_status status, const std::vector<table_row>& rows) {
@@ -161,7 +160,6 @@
 
 void config_sync::read_log(std::uint64_t through, instant began) {
   m_busy = true;
-  ++m_reads;
   const std::uint64_t since = m_config.sequence();
   m_table.read(
       {std::string(config_log_prefix), config_log_key(since), items_per_delta},
@@ -188,7 +186,6 @@
 
 void config_sync::read_items(std::uint64_t through, instant began) {
   m_busy = true;
-  ++m_reads;
   m_table.read({std::string(config_item_prefix), "", 100'000},
                [this, through, began](table_status status,
                                       const std::vector<table_row>& rows) {
--- a/src/kingcupslip/core/config_sync.hpp
+++ b/src/kingcupslip/core/config_sync.hpp
@@ -4,6 +4,7 @@
 
 #include "kingcupslip/core/configuration.hpp"
 #include "kingcupslip/core/member_table.hpp"
+#include "kingcupslip/core/message_sender.hpp"
 #include "kingcupslip/core/table.hpp"
 #include "kingcupslip/core/time.hpp"
 #include "kingcupslip/wire/generated/messages.hpp"
@@ -15,10 +16,6 @@
 
 namespace kingcupslip {
 
-/// Sends a message to a node by name.
-using message_sender =
-    std::function<void(const std::string& node, wire::payloadUnion body)>;
-
 /// Two readers per data centre poll the head row; everyone else hears from
 /// peers, pushed on a change and pulled when gossip shows a gap. Nodes that
 /// hear nothing for long read the table themselves.
@@ -46,9 +43,6 @@
   /// How long ago this node's configuration was surely the newest.
   duration age(instant now) const;
 
-  /// Table reads made, for the counters.
-  std::uint64_t reads() const { return m_reads; }
-
 private:
   bool is_reader() const;
   void poll(instant now);
@@ -70,7 +64,6 @@
   instant m_current_as_of{0};
   instant m_pull_at{0};
   instant m_now{0};
-  std::uint64_t m_reads = 0;
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -199,8 +199,8 @@
 }
 
 bool dispatcher::may_retry(dispatch_job& job, const outcome& o) {
-  if (!m_options.retries || o.why == reason::none ||
-      !info_of(o.why).retry_elsewhere || job.request.retries == 0) {
+  if (o.why == reason::none || !info_of(o.why).retry_elsewhere ||
+      job.request.retries == 0) {
     return false;
   }
   const bool harmless = o.ran == verdict::not_run || job.request.idempotent;
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "kingcupslip/core/balancer.hpp"
 #include "kingcupslip/core/configuration.hpp"
 #include "kingcupslip/core/member_table.hpp"
+#include "kingcupslip/core/message_sender.hpp"
 #include "kingcupslip/core/pending_calls.hpp"
 #include "kingcupslip/core/retry_ratio.hpp"
 #include "kingcupslip/core/target_stage.hpp"
@@ -18,9 +19,6 @@
 
 namespace kingcupslip {
 
-using message_sender =
-    std::function<void(const std::string& node, wire::payloadUnion body)>;
-
 /// One request with all its attempts. Shared by whoever may end it.
 struct dispatch_job {
   wire::callT request; ///< `retries` is what is left to spend
@@ -50,7 +48,6 @@
 public:
   struct options {
     bool plain_forwarding = false;
-    bool retries = true;
   };
 
   dispatcher(options o, const clock_reading& clock, member_table& members,
--- a/src/kingcupslip/core/fleet_agent.cpp
+++ b/src/kingcupslip/core/fleet_agent.cpp
@@ -223,7 +223,7 @@
     return;
   }
   m_parts.owner.adopt(m);
-  m_expected_slots[m.slot] = true;
+  m_expected_slots.insert(m.slot);
   m_slots_at = m_clock.now + std::chrono::milliseconds(100);
   wire::slot_handover_doneT done;
   done.slot = m.slot;
--- a/src/kingcupslip/core/fleet_agent.hpp
+++ b/src/kingcupslip/core/fleet_agent.hpp
@@ -95,7 +95,7 @@
   const clock_reading& m_clock;
   std::map<std::uint32_t, handover> m_handovers;
   std::map<std::string, member_state> m_told_states;
-  std::map<std::uint32_t, bool> m_expected_slots;
+  std::set<std::uint32_t> m_expected_slots;
   instant m_started_at{0};
   instant m_gossip_at{0};
   instant m_slots_at{0};
--- a/src/kingcupslip/core/header_names.hpp
+++ b/src/kingcupslip/core/header_names.hpp
@@ -14,8 +14,6 @@
 constexpr std::string_view context = "Kingcupslip-Context";
 constexpr std::string_view verdict = "Kingcupslip-Verdict";
 constexpr std::string_view request_id = "Kingcupslip-Request-Id";
-/// Set by the connection guard; names the caller's connection.
-constexpr std::string_view connection = "Kingcupslip-Connection";
 
 } // namespace header_names
 
--- a/src/kingcupslip/core/pending_calls.hpp
+++ b/src/kingcupslip/core/pending_calls.hpp
@@ -39,9 +39,6 @@
   /// Ends calls that are past their deadlines.
   void expire(instant now);
 
-  /// Forgets a call whose result no longer matters.
-  void drop(std::uint64_t correlation) { m_calls.erase(correlation); }
-
   std::size_t size() const { return m_calls.size(); }
 
 private:
--- a/src/kingcupslip/core/rate_gate.cpp
+++ b/src/kingcupslip/core/rate_gate.cpp
@@ -46,14 +46,6 @@
   }
 }
 
-std::size_t rate_gate::waiting() const {
-  std::size_t n = 0;
-  for (const std::pair<const std::string, line>& it : m_lines) {
-    n += it.second.size();
-  }
-  return n;
-}
-
 void rate_gate::advance(const std::string& team, line& l) {
   while (!l.empty()) {
     const bool passed = m_shares.take(team, m_clock.now);
--- a/src/kingcupslip/core/rate_gate.hpp
+++ b/src/kingcupslip/core/rate_gate.hpp
@@ -28,7 +28,6 @@
 
   void enter(const std::string& team, instant deadline, next_step next);
   void tick();
-  std::size_t waiting() const;
 
 private:
   struct waiting_request {
--- a/src/kingcupslip/core/share_book.hpp
+++ b/src/kingcupslip/core/share_book.hpp
@@ -58,7 +58,6 @@
   void return_all(instant now);
 
   std::uint32_t held(const std::string& team) const;
-  std::size_t teams() const { return m_teams.size(); }
 
 private:
   struct team_share {
--- a/src/kingcupslip/core/span_budget.hpp
+++ b/src/kingcupslip/core/span_budget.hpp
@@ -27,9 +27,6 @@
   void give_back(std::uint64_t span, std::uint32_t reserved,
                  std::uint32_t used);
 
-  bool knows(std::uint64_t span) const { return m_spans.count(span) != 0; }
-  std::size_t size() const { return m_spans.size(); }
-
 private:
   struct budget {
     std::uint32_t left = 0;
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -342,7 +342,6 @@
   if (!m_loss) {
     m_loss = loss{};
     m_loss->at = m_clock.now;
-    m_loss->instance = m_instance;
     for (const std::pair<const std::uint64_t, run>& it : m_runs) {
       m_loss->in_flight.push_back(it.second.digest);
       m_loss->runs_left.insert(it.first);
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -120,7 +120,6 @@
     instant at{0};
     std::vector<std::uint64_t> in_flight;
     std::set<std::uint64_t> runs_left;
-    std::string instance;
   };
 
   std::optional<reason> refuse_at_once(const wire::callT& request,
--- a/src/kingcupslip/net/http_client.hpp
+++ b/src/kingcupslip/net/http_client.hpp
@@ -37,8 +37,6 @@
   /// Closes the exchange's connection; it ends as `lost`.
   void cancel(std::uint64_t id);
 
-  std::size_t idle_connections() const { return m_idle.size(); }
-
 private:
   friend class http_exchange;
   struct idle_connection {
--- a/src/kingcupslip/net/peer_network.hpp
+++ b/src/kingcupslip/net/peer_network.hpp
@@ -52,7 +52,6 @@
 
   void send(const std::string& node, const wire::payloadUnion& body);
   const peer_counters& counters() const { return m_counters; }
-  std::size_t sessions() const { return m_all.size(); }
   std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
   /// Checks for silence; call once a second.
