--- /dev/null
+++ b/src/kingcupslip/core/desired_state.cpp
@@ -0,0 +1,187 @@
+// Watching, merging and spreading of the desired state.
+#include "kingcupslip/core/desired_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr duration first_backoff = std::chrono::milliseconds(50);
+constexpr duration longest_backoff = std::chrono::milliseconds(800);
+/// Between pulls from peers, so that a change is not fetched many times.
+constexpr duration pull_spacing = std::chrono::milliseconds(100);
+
+} // namespace
+
+desired_state::desired_state(watch_hooks hooks, message_sender send,
+                             std::function<std::uint64_t()> random,
+                             event_sink log, const clock_reading& clock)
+    : m_hooks(std::move(hooks)), m_send(std::move(send)),
+      m_random(std::move(random)), m_log(std::move(log)), m_clock(clock) {}
+
+void desired_state::tick() {
+  if (m_busy || m_clock.now < m_again_at) {
+    return;
+  }
+  m_complete ? wait_changes() : read_all();
+}
+
+void desired_state::read_all() {
+  m_busy = true;
+  m_hooks.read_all([this](watch_status status,
+                          const std::vector<operator_item>& items,
+                          std::uint64_t version) {
+    on_answer(status, items, version, true);
+  });
+}
+
+void desired_state::wait_changes() {
+  m_busy = true;
+  m_hooks.wait_changes(m_cursor, [this](watch_status status,
+                                        const std::vector<operator_item>& items,
+                                        std::uint64_t version) {
+    on_answer(status, items, version, false);
+  });
+}
+
+void desired_state::on_answer(watch_status status,
+                              const std::vector<operator_item>& items,
+                              std::uint64_t version, bool complete) {
+  m_busy = false;
+  if (status == watch_status::unavailable) {
+    on_unavailable();
+    return;
+  }
+  if (m_lost) {
+    m_lost = false;
+    m_log(event_id::table_regained, {{"version", std::to_string(version)}});
+  }
+  m_backoff = duration(0);
+  m_confirmed_at = m_clock.now;
+  if (status == watch_status::history_gone) {
+    m_complete = false;
+    return;
+  }
+  std::set<std::string> out = complete ? std::set<std::string>{} : m_out;
+  std::uint64_t marks_at = complete ? version : m_marks_version;
+  bool changed = false;
+  for (const operator_item& it : items) {
+    if (it.what == operator_item::kind::routes) {
+      changed |= !it.removed && take_routes(it.version, it.text);
+      continue;
+    }
+    if (it.removed) {
+      out.erase(it.name);
+    } else {
+      out.insert(it.name);
+    }
+    marks_at = std::max(marks_at, it.version);
+  }
+  changed |= take_marks(marks_at, std::move(out));
+  m_cursor = std::max(m_cursor, version);
+  m_complete = true;
+  if (changed && m_on_change) {
+    m_on_change();
+  }
+}
+
+void desired_state::on_unavailable() {
+  if (!m_lost) {
+    m_lost = true;
+    m_log(event_id::table_lost,
+          {{"cursor", std::to_string(m_cursor)},
+           {"age_ms", std::to_string(age() / std::chrono::milliseconds(1))}});
+  }
+  m_backoff = std::min(longest_backoff, std::max(first_backoff, m_backoff * 2));
+  const std::uint64_t jitter =
+      m_random() % static_cast<std::uint64_t>(m_backoff.count());
+  m_again_at = m_clock.now + m_backoff / 2 +
+               duration(static_cast<duration::rep>(jitter));
+}
+
+bool desired_state::take_routes(std::uint64_t version,
+                                const std::string& text) {
+  if (version <= m_routes_version) {
+    return false;
+  }
+  const std::shared_ptr<const route_table> table = m_hooks.decode(text);
+  if (!table) {
+    m_log(event_id::config_unreadable, {{"version", std::to_string(version)}});
+    return false;
+  }
+  m_routes = table;
+  m_text = text;
+  m_routes_version = version;
+  m_log(event_id::config_applied,
+        {{"sequence", std::to_string(version)}, {"version", table->version()}});
+  return true;
+}
+
+bool desired_state::take_marks(std::uint64_t version,
+                               std::set<std::string> out) {
+  if (version <= m_marks_version) {
+    return false;
+  }
+  m_marks_version = version;
+  if (out == m_out) {
+    return false;
+  }
+  m_out = std::move(out);
+  std::string names;
+  for (const std::string& it : m_out) {
+    names += (names.empty() ? "" : ",") + it;
+  }
+  m_log(event_id::data_centres_out,
+        {{"sequence", std::to_string(version)}, {"out", names}});
+  return true;
+}
+
+void desired_state::fill(wire::gossipT& g) const {
+  g.routes_version = m_routes_version;
+  g.marks_version = m_marks_version;
+}
+
+void desired_state::on_gossip(const std::string& from, const wire::gossipT& g) {
+  const bool behind =
+      g.routes_version > m_routes_version || g.marks_version > m_marks_version;
+  if (!behind || m_clock.now - m_pulled_at < pull_spacing) {
+    return;
+  }
+  m_pulled_at = m_clock.now;
+  wire::desired_state_pullT pull;
+  pull.routes_version = m_routes_version;
+  pull.marks_version = m_marks_version;
+  wire::payloadUnion body;
+  body.Set(std::move(pull));
+  m_send(from, std::move(body));
+}
+
+void desired_state::on_pull(const std::string& from,
+                            const wire::desired_state_pullT& m) {
+  wire::desired_stateT state;
+  if (m_routes_version > m.routes_version) {
+    state.routes_version = m_routes_version;
+    state.routes = m_text;
+  }
+  if (m_marks_version > m.marks_version) {
+    state.marks_version = m_marks_version;
+    state.data_centres_out.assign(m_out.begin(), m_out.end());
+  }
+  wire::payloadUnion body;
+  body.Set(std::move(state));
+  m_send(from, std::move(body));
+}
+
+void desired_state::on_state(const wire::desired_stateT& m) {
+  bool changed = take_routes(m.routes_version, m.routes);
+  changed |= take_marks(m.marks_version,
+                        std::set<std::string>(m.data_centres_out.begin(),
+                                              m.data_centres_out.end()));
+  if (changed && m_on_change) {
+    m_on_change();
+  }
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -0,0 +1,114 @@
+// The desired state in force at a node: watched in the store, spread by peers.
+#ifndef KINGCUPSLIP_CORE_DESIRED_STATE_HPP
+#define KINGCUPSLIP_CORE_DESIRED_STATE_HPP
+
+#include "kingcupslip/core/log_event.hpp"
+#include "kingcupslip/core/message_sender.hpp"
+#include "kingcupslip/core/route_table.hpp"
+#include "kingcupslip/core/time.hpp"
+#include "kingcupslip/wire/generated/messages.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kingcupslip {
+
+/// One thing that operators keep in the store.
+struct operator_item {
+  enum class kind : std::uint8_t { routes, data_centre_out };
+  kind what = kind::routes;
+  std::string name; ///< of the data centre
+  std::string text; ///< the document of routes, as it was written
+  std::uint64_t version = 0;
+  bool removed = false;
+};
+
+/// How a read of the store or a wait for changes ended.
+enum class watch_status : std::uint8_t {
+  ok,
+  history_gone, ///< changes are missing: everything must be read again
+  unavailable
+};
+
+using watch_handler =
+    std::function<void(watch_status status, std::vector<operator_item> items,
+                       std::uint64_t version)>;
+
+struct watch_hooks {
+  /// Everything there is, as of one version.
+  std::function<void(watch_handler)> read_all;
+  /// What changed after a version; answers when there is something, or with
+  /// nothing after a while.
+  std::function<void(std::uint64_t after, watch_handler)> wait_changes;
+  /// Decodes a document of routes; null where it cannot be read.
+  std::function<std::shared_ptr<const route_table>(const std::string&)> decode;
+};
+
+/// Invariants: the versions of routes and marks never fall; a document that
+/// cannot be decoded changes nothing.
+class desired_state {
+public:
+  desired_state(watch_hooks hooks, message_sender send,
+                std::function<std::uint64_t()> random, event_sink log,
+                const clock_reading& clock);
+
+  void set_on_change(std::function<void()> hook) {
+    m_on_change = std::move(hook);
+  }
+
+  void tick();
+
+  /// Null until a first version is known.
+  const route_table* routes() const { return m_routes.get(); }
+  std::shared_ptr<const route_table> shared_routes() const { return m_routes; }
+  bool data_centre_out(const std::string& name) const {
+    return m_out.count(name) != 0;
+  }
+  std::uint64_t routes_version() const { return m_routes_version; }
+  std::uint64_t marks_version() const { return m_marks_version; }
+
+  /// How long ago the store last answered; for logs and metrics.
+  duration age() const { return m_clock.now - m_confirmed_at; }
+
+  void fill(wire::gossipT& g) const;
+  void on_gossip(const std::string& from, const wire::gossipT& g);
+  void on_pull(const std::string& from, const wire::desired_state_pullT& m);
+  void on_state(const wire::desired_stateT& m);
+
+private:
+  void read_all();
+  void wait_changes();
+  void on_answer(watch_status status, const std::vector<operator_item>& items,
+                 std::uint64_t version, bool complete);
+  void on_unavailable();
+  bool take_routes(std::uint64_t version, const std::string& text);
+  bool take_marks(std::uint64_t version, std::set<std::string> out);
+
+  watch_hooks m_hooks;
+  message_sender m_send;
+  std::function<std::uint64_t()> m_random;
+  event_sink m_log;
+  const clock_reading& m_clock;
+  std::function<void()> m_on_change;
+  std::shared_ptr<const route_table> m_routes;
+  std::string m_text;
+  std::uint64_t m_routes_version = 0;
+  std::set<std::string> m_out;
+  std::uint64_t m_marks_version = 0;
+  std::uint64_t m_cursor = 0;
+  instant m_confirmed_at{0};
+  instant m_again_at{0};
+  instant m_pulled_at{0};
+  duration m_backoff{0};
+  bool m_busy = false;
+  bool m_complete = false; ///< everything was read once since history broke
+  bool m_lost = false;
+};
+
+} // namespace kingcupslip
+
+#endif
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -12,19 +12,29 @@
 
 /// With less time left a request stays in its data centre.
 constexpr duration time_for_overflow = std::chrono::milliseconds(20);
+/// How long a member is left out whose target took no work.
+constexpr duration avoidance = std::chrono::seconds(1);
+constexpr std::uint16_t internal_error = 500;
+constexpr std::uint16_t gateway_timeout = 504;
+
+/// The target's own failure, other than running out of time.
+bool failed_answer(const outcome& o) {
+  return o.why == reason::none && o.status >= internal_error &&
+         o.status != gateway_timeout;
+}
 
 } // namespace
 
 dispatcher::dispatcher(options o, const clock_reading& clock,
-                       member_table& members, const configuration& config,
+                       member_table& members, out_mark marked_out,
                        pending_calls& calls, target_stage& local,
                        message_sender send, member_table::random_source random)
-    : m_options(o), m_clock(clock), m_members(members), m_config(config),
-      m_calls(calls), m_local(local), m_send(std::move(send)),
-      m_random(std::move(random)) {}
+    : m_options(o), m_clock(clock), m_members(members),
+      m_marked_out(std::move(marked_out)), m_calls(calls), m_local(local),
+      m_send(std::move(send)), m_random(std::move(random)) {}
 
 void dispatcher::dispatch(const std::shared_ptr<dispatch_job>& job) {
-  m_ratios[job->request.service].on_first_try();
+  ratio_of(job->request.service).on_first_try();
   attempt(job);
 }
 
@@ -79,10 +89,9 @@
   const std::string& here = m_members.self().info.data_centre;
   for (const std::pair<const std::string, member>& it : m_members.all()) {
     const wire::memberT& m = it.second.info;
-    const bool in_service = m.service == job.request.service && m.ready &&
-                            it.second.usable() &&
-                            !m_config.target_out(m.node) &&
-                            !m_config.data_centre_out(m.data_centre);
+    const bool in_service =
+        m.service == job.request.service && m.ready && it.second.usable() &&
+        m_clock.now >= it.second.avoided_until && !m_marked_out(m);
     if (!in_service || job.tried.count(m.node) != 0) {
       continue;
     }
@@ -111,7 +120,7 @@
     return;
   }
   std::vector<target_view> targets = candidates(*job);
-  if (targets.empty() && !job->tried.empty()) {
+  if (targets.empty() && !job->tried.empty() && job->most_targets == 0) {
     // Every target was tried once; with backoff in between, again is fine.
     job->tried.clear();
     targets = candidates(*job);
@@ -162,20 +171,11 @@
 void dispatcher::on_outcome(const std::shared_ptr<dispatch_job>& job,
                             const std::string& node, std::uint32_t allowance,
                             outcome o) {
-  if (member* m = m_members.find(node)) {
-    m->in_flight_here -= m->in_flight_here > 0 ? 1 : 0;
-    const bool broken = o.why == reason::connection_lost ||
-                        o.why == reason::target_unreachable ||
-                        o.why == reason::node_unreachable ||
-                        o.why == reason::no_target;
-    if (broken) {
-      ++m->failures;
-      m->failure_at = m_clock.now;
-    }
-  }
+  note_health(node, o);
   if (job->ended) {
     return;
   }
+  const reason why = o.why;
   // A lost attempt may have spent all that its nested calls were allowed.
   const std::uint32_t used = o.ran == verdict::may_have_run
                                  ? allowance
@@ -183,24 +183,66 @@
   job->spent += used;
   job->request.retries -= std::min(job->request.retries, used);
   job->may_have_run |= o.ran == verdict::may_have_run;
-  m_ratios[job->request.service].on_result(info_of(o.why).overload,
-                                           m_clock.now);
+  ratio_of(job->request.service)
+      .on_result(info_of(o.why).overload, m_clock.now);
   if (!may_retry(*job, o)) {
     finish(job, std::move(o));
     return;
   }
+  if (o.why == reason::none) {
+    job->fallback = std::move(o);
+  }
   --job->request.retries;
   ++job->spent;
   if (job->on_retry) {
-    job->on_retry(o.why);
+    job->on_retry(why);
   }
   job->at_node.clear();
   m_waiting.emplace(job->retry_at, job);
 }
 
+void dispatcher::note_health(const std::string& node, const outcome& o) {
+  member* m = m_members.find(node);
+  if (m == nullptr) {
+    return;
+  }
+  m->in_flight_here -= m->in_flight_here > 0 ? 1 : 0;
+  const bool gone =
+      o.why == reason::no_target || o.why == reason::target_unreachable ||
+      o.why == reason::node_unreachable || o.why == reason::draining;
+  if (gone) {
+    // Its own news that it takes no work may still be on the way.
+    m->avoided_until = m_clock.now + avoidance;
+  }
+  const bool broken = gone || o.why == reason::connection_lost ||
+                      o.why == reason::target_refused ||
+                      (m_options.retry_failed_answers && failed_answer(o));
+  if (broken) {
+    ++m->failures;
+    m->failure_at = m_clock.now;
+  }
+}
+
+retry_ratio& dispatcher::ratio_of(const std::string& service) {
+  return m_ratios.try_emplace(service, m_options.retries).first->second;
+}
+
+void dispatcher::set_retry_options(const retry_ratio::options& o) {
+  m_options.retries = o;
+  for (std::pair<const std::string, retry_ratio>& it : m_ratios) {
+    it.second.set_options(o);
+  }
+}
+
 bool dispatcher::may_retry(dispatch_job& job, const outcome& o) {
-  if (o.why == reason::none || !info_of(o.why).retry_elsewhere ||
-      job.request.retries == 0) {
+  const bool failed = m_options.retry_failed_answers && failed_answer(o);
+  const bool elsewhere =
+      o.why != reason::none && info_of(o.why).retry_elsewhere;
+  if ((!failed && !elsewhere) || job.request.retries == 0) {
+    return false;
+  }
+  if (job.most_targets != 0 &&
+      (job.tried.size() >= job.most_targets || candidates(job).empty())) {
     return false;
   }
   const bool harmless = o.ran == verdict::not_run || job.request.idempotent;
@@ -212,7 +254,7 @@
     return false;
   }
   return m_options.plain_forwarding ||
-         m_ratios[job.request.service].spend(m_clock.now);
+         ratio_of(job.request.service).spend(m_clock.now);
 }
 
 void dispatcher::finish(const std::shared_ptr<dispatch_job>& job, outcome o) {
@@ -220,6 +262,10 @@
     return;
   }
   job->ended = true;
+  if (job->fallback && o.why != reason::none) {
+    // The target's own failure says more than a refusal after it.
+    o = std::move(*job->fallback);
+  }
   if (job->may_have_run && o.ran == verdict::not_run) {
     // That this attempt did not run says nothing of the ones before.
     o.ran = verdict::may_have_run;
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -3,7 +3,6 @@
 #define KINGCUPSLIP_CORE_DISPATCHER_HPP
 
 #include "kingcupslip/core/balancer.hpp"
-#include "kingcupslip/core/configuration.hpp"
 #include "kingcupslip/core/member_table.hpp"
 #include "kingcupslip/core/message_sender.hpp"
 #include "kingcupslip/core/pending_calls.hpp"
@@ -14,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,6 +28,12 @@
   std::function<reason()> may_send;
   std::function<void(reason)> on_retry;
 
+  /// Members that the request may be sent to in all; 0: no such limit.
+  std::uint32_t most_targets = 0;
+  /// An answer of an attempt that is being repeated, in case nothing better
+  /// comes.
+  std::optional<outcome> fallback;
+
   std::set<std::string> tried;
   std::uint32_t attempts = 0;
   std::uint32_t spent = 0;
@@ -48,12 +54,16 @@
 public:
   struct options {
     bool plain_forwarding = false;
+    retry_ratio::options retries;
+    /// Repeats idempotent requests that the target answered with a failure.
+    bool retry_failed_answers = false;
   };
+  /// Whether an operator's mark keeps a member's target out of service.
+  using out_mark = std::function<bool(const wire::memberT&)>;
 
   dispatcher(options o, const clock_reading& clock, member_table& members,
-             const configuration& config, pending_calls& calls,
-             target_stage& local, message_sender send,
-             member_table::random_source random);
+             out_mark marked_out, pending_calls& calls, target_stage& local,
+             message_sender send, member_table::random_source random);
 
   void dispatch(const std::shared_ptr<dispatch_job>& job);
 
@@ -69,6 +79,9 @@
   /// What a reply says of its sender's load.
   void on_load(const std::string& node, const wire::replyT& reply);
 
+  /// Follows the fleet's size, over which retries are shared out.
+  void set_retry_options(const retry_ratio::options& o);
+
 private:
   std::vector<target_view> candidates(const dispatch_job& job) const;
   void attempt(const std::shared_ptr<dispatch_job>& job);
@@ -77,11 +90,13 @@
                   const std::string& node, std::uint32_t allowance, outcome o);
   bool may_retry(dispatch_job& job, const outcome& o);
   void finish(const std::shared_ptr<dispatch_job>& job, outcome o);
+  void note_health(const std::string& node, const outcome& o);
+  retry_ratio& ratio_of(const std::string& service);
 
   options m_options;
   const clock_reading& m_clock;
   member_table& m_members;
-  const configuration& m_config;
+  out_mark m_marked_out;
   pending_calls& m_calls;
   target_stage& m_local;
   message_sender m_send;
--- a/src/kingcupslip/core/entry_stage.cpp
+++ b/src/kingcupslip/core/entry_stage.cpp
@@ -67,6 +67,21 @@
   return digest64(text);
 }
 
+token_source tokens_of(share_book& shares) {
+  token_source out;
+  out.count = [&shares](const std::string& team, instant now) {
+    shares.count(team, now);
+  };
+  out.take = [&shares](const std::string& team, instant now) {
+    return shares.take(team, now);
+  };
+  out.expected_wait = [&shares](const std::string& team, std::size_t ahead,
+                                instant now) {
+    return shares.expected_wait(team, ahead, now);
+  };
+  return out;
+}
+
 std::chrono::milliseconds to_ms_up(duration d) {
   return std::chrono::ceil<std::chrono::milliseconds>(d);
 }
@@ -76,7 +91,7 @@
 entry_stage::entry_stage(entry_options options, parts p,
                          const clock_reading& clock)
     : m_options(std::move(options)), m_parts(std::move(p)), m_clock(clock),
-      m_gate(m_parts.shares, clock) {}
+      m_gate(tokens_of(m_parts.shares), clock) {}
 
 void entry_stage::on_request(caller_request request, outcome_handler handler) {
   std::string service;
--- a/src/kingcupslip/core/fleet_agent.cpp
+++ b/src/kingcupslip/core/fleet_agent.cpp
@@ -13,28 +13,22 @@
 
 using nlohmann::json;
 
-constexpr std::string_view member_prefix = "member/";
 constexpr std::string_view report_prefix = "report/";
-constexpr duration gossip_period = std::chrono::seconds(1);
 constexpr duration slots_period = std::chrono::seconds(1);
 constexpr duration sweep_period = std::chrono::seconds(30);
 constexpr duration fleet_sweep_period = std::chrono::minutes(5);
 constexpr duration report_period = std::chrono::seconds(30);
-constexpr duration join_retry = std::chrono::seconds(1);
 /// Membership settles for this long before slots are taken.
 constexpr duration settling = std::chrono::seconds(3);
 constexpr duration handover_delay = std::chrono::milliseconds(300);
 constexpr duration handover_patience = std::chrono::seconds(1);
 constexpr std::size_t most_successors_tried = 3;
-constexpr std::size_t news_per_gossip = 8;
-constexpr std::size_t samples_on_difference = 16;
-constexpr std::size_t suspects_per_gossip = 4;
-constexpr std::size_t farewells = 8;
+constexpr std::size_t told_of_slots = 4;
 
 } // namespace
 
 fleet_agent::fleet_agent(parts p, const clock_reading& clock)
-    : m_parts(std::move(p)), m_clock(clock) {
+    : m_parts(std::move(p)), m_clock(clock), m_gossip(gossip_parts(), clock) {
   m_parts.slots.set_on_change([this] { m_slots_changed = true; });
   m_parts.lease.set_on_lost([this] {
     m_parts.log(event_id::lease_lost, {{"lease", m_parts.lease.id()}});
@@ -49,21 +43,7 @@
     m_started_at = m_clock.now;
     m_report_at = m_clock.now + report_period;
   }
-  if (!m_joined && m_clock.now >= m_join_at) {
-    const std::uint64_t jitter = m_parts.random() % 1'000'000;
-    m_join_at = m_clock.now + join_retry + duration(jitter);
-    join();
-  }
-  m_parts.members.tick(m_clock.now);
-  tell_members();
-  if (m_clock.now >= m_gossip_at) {
-    m_gossip_at = m_clock.now + gossip_period;
-    const std::string to = m_parts.members.next_probe(m_clock.now);
-    if (!to.empty()) {
-      m_parts.members.on_probe_sent(to, m_clock.now);
-      gossip_to(to, true, 0);
-    }
-  }
+  m_gossip.tick();
   m_parts.sync.tick(m_clock.now);
   m_parts.shares.tick(m_clock.now);
   tick_lease();
@@ -77,119 +57,25 @@
   tick_handover();
 }
 
-void fleet_agent::join() {
-  write_member_row();
-  m_parts.table.read(
-      {std::string(member_prefix), "", 10'000},
-      [this](table_status status, const std::vector<table_row>& rows) {
-        if (status != table_status::ok) {
-          return;
-        }
-        m_joined = m_row_written;
-        for (const table_row& it : rows) {
-          const json value = json::parse(it.value, nullptr, false);
-          if (!value.is_object()) {
-            continue;
-          }
-          wire::memberT m;
-          m.node = value.value("node", "");
-          m.data_centre = value.value("data_centre", "");
-          m.address = value.value("address", "");
-          m.admin_url = value.value("admin_url", "");
-          m.service = value.value("service", "");
-          m.incarnation = value.value("incarnation", std::uint64_t{0});
-          m_parts.members.merge(m, m_clock.now);
-        }
-        for (const std::string& to : m_parts.members.random_peers("", 3)) {
-          gossip_to(to, true, samples_on_difference);
-        }
-      });
-}
-
-std::string fleet_agent::member_row_key() const {
-  return std::string(member_prefix) + m_parts.self.data_centre + "/" +
-         m_parts.self.node;
-}
-
-void fleet_agent::write_member_row() {
-  const std::string value = json{{"node", m_parts.self.node},
-                                 {"data_centre", m_parts.self.data_centre},
-                                 {"address", m_parts.self.address},
-                                 {"admin_url", m_parts.self.admin_url},
-                                 {"service", m_parts.self.service},
-                                 {"incarnation", m_parts.self.incarnation}}
-                                .dump();
-  const std::string key = member_row_key();
-  m_parts.table.read(
-      {key, "", 1}, [this, key, value](table_status status,
-                                       const std::vector<table_row>& rows) {
-        if (status != table_status::ok) {
-          return;
-        }
-        const bool there = !rows.empty() && rows.front().key == key;
-        if (there && rows.front().value == value) {
-          m_member_row_version = rows.front().version;
-          m_row_written = true;
-          return;
-        }
-        m_parts.table.commit(
-            {{key, there ? rows.front().version : 0, value, false}},
-            [this](table_status written, std::uint64_t version) {
-              m_row_written = written == table_status::ok;
-              m_member_row_version = version;
-            });
-      });
-}
-
-void fleet_agent::gossip_to(const std::string& node, bool answer_wanted,
-                            std::size_t samples) {
-  wire::gossipT g;
-  g.members = m_parts.members.news(news_per_gossip);
-  if (samples > 0) {
-    for (std::unique_ptr<wire::memberT>& it : m_parts.members.sample(samples)) {
-      g.members.push_back(std::move(it));
+gossip_agent::parts fleet_agent::gossip_parts() {
+  gossip_agent::parts out{m_parts.self,  m_parts.members, m_parts.crashes,
+                          m_parts.table, m_parts.send,    m_parts.random,
+                          m_parts.log,   nullptr,         nullptr};
+  out.fill = [this](wire::gossipT& g) {
+    g.config_sequence = m_parts.config.sequence();
+    g.config_age_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(
+        m_parts.sync.age(m_clock.now) / std::chrono::milliseconds(1),
+        UINT32_MAX));
+  };
+  out.on_news = [this](const std::string& from, const wire::gossipT& m) {
+    if (member* peer = m_parts.members.find(from)) {
+      peer->config_sequence = m.config_sequence;
     }
-  }
-  for (const quarantine::entry& it :
-       m_parts.crashes.to_tell(suspects_per_gossip, m_clock.now)) {
-    std::unique_ptr<wire::suspectT> s = std::make_unique<wire::suspectT>();
-    s->digest = it.digest;
-    s->crashes = it.crashes;
-    s->expires_in_ms = static_cast<std::uint32_t>((it.expires - m_clock.now) /
-                                                  std::chrono::milliseconds(1));
-    g.suspects.push_back(std::move(s));
-  }
-  g.config_sequence = m_parts.config.sequence();
-  g.config_age_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(
-      m_parts.sync.age(m_clock.now) / std::chrono::milliseconds(1),
-      UINT32_MAX));
-  g.member_digest = m_parts.members.digest();
-  g.answer_wanted = answer_wanted;
-  wire::payloadUnion body;
-  body.Set(std::move(g));
-  m_parts.send(node, std::move(body));
-}
-
-void fleet_agent::on_gossip(const std::string& from, const wire::gossipT& m) {
-  for (const std::unique_ptr<wire::memberT>& it : m.members) {
-    m_parts.members.merge(*it, m_clock.now);
-  }
-  m_parts.members.on_heard(from, m_clock.now);
-  if (member* peer = m_parts.members.find(from)) {
-    peer->config_sequence = m.config_sequence;
-  }
-  for (const std::unique_ptr<wire::suspectT>& it : m.suspects) {
-    m_parts.crashes.merge(it->digest, it->crashes,
-                          std::chrono::milliseconds(it->expires_in_ms),
-                          m_clock.now);
-  }
-  m_parts.sync.on_gossip(from, m.config_sequence,
-                         std::chrono::milliseconds(m.config_age_ms),
-                         m_clock.now);
-  if (m.answer_wanted) {
-    const bool differs = m.member_digest != m_parts.members.digest();
-    gossip_to(from, false, differs ? samples_on_difference : 0);
-  }
+    m_parts.sync.on_gossip(from, m.config_sequence,
+                           std::chrono::milliseconds(m.config_age_ms),
+                           m_clock.now);
+  };
+  return out;
 }
 
 void fleet_agent::on_ping(const std::string& from, const wire::pingT& m) {
@@ -242,25 +128,6 @@
   }
 }
 
-void fleet_agent::add_seed(const std::string& node,
-                           const std::string& address) {
-  wire::memberT m;
-  m.node = node;
-  m.address = address;
-  m_parts.members.merge(m, m_clock.now);
-}
-
-void fleet_agent::set_ready(bool ready) {
-  if (m_parts.members.self().info.ready == ready) {
-    return;
-  }
-  m_parts.members.update_self([ready](wire::memberT& m) { m.ready = ready; },
-                              m_clock.now);
-  for (const std::string& to : m_parts.members.random_peers("", farewells)) {
-    gossip_to(to, false, 0);
-  }
-}
-
 void fleet_agent::start_handover() {
   m_leaving = true;
   for (const std::pair<const std::uint32_t, owned_slot>& it :
@@ -279,21 +146,7 @@
   m_leaving = true;
   write_report();
   m_parts.shares.return_all(m_clock.now);
-  m_parts.members.update_self(
-      [](wire::memberT& m) {
-        m.state = static_cast<std::uint8_t>(member_state::left);
-        m.ready = false;
-        m.slots.clear();
-      },
-      m_clock.now);
-  for (const std::string& to : m_parts.members.random_peers("", farewells)) {
-    gossip_to(to, false, 0);
-  }
-  if (m_row_written) {
-    m_parts.table.commit(
-        {{member_row_key(), m_member_row_version, std::nullopt, false}},
-        [](table_status, std::uint64_t) {});
-  }
+  m_gossip.leave();
 }
 
 void fleet_agent::tick_lease() {
@@ -484,25 +337,7 @@
       m_clock.now);
   m_parts.log(event_id::slots_changed,
               {{"owned", std::to_string(m_parts.slots.all().size())}});
-  for (const std::string& to : m_parts.members.random_peers("", 4)) {
-    gossip_to(to, false, 0);
-  }
-}
-
-void fleet_agent::tell_members() {
-  for (const std::pair<const std::string, member>& it : m_parts.members.all()) {
-    const auto told_it = m_told_states.find(it.first);
-    const member_state s = it.second.state();
-    if (told_it != m_told_states.end() && told_it->second == s) {
-      continue;
-    }
-    m_told_states[it.first] = s;
-    const event_id id = s == member_state::alive ? event_id::member_joined
-                        : s == member_state::suspect
-                            ? event_id::member_suspected
-                            : event_id::member_gone;
-    m_parts.log(id, {{"node", it.first}, {"state", std::string(name_of(s))}});
-  }
+  m_gossip.spread(told_of_slots);
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/fleet_agent.hpp
+++ b/src/kingcupslip/core/fleet_agent.hpp
@@ -3,6 +3,7 @@
 #define KINGCUPSLIP_CORE_FLEET_AGENT_HPP
 
 #include "kingcupslip/core/config_sync.hpp"
+#include "kingcupslip/core/gossip_agent.hpp"
 #include "kingcupslip/core/lease.hpp"
 #include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/member_table.hpp"
@@ -44,7 +45,6 @@
 
   void tick();
 
-  void on_gossip(const std::string& from, const wire::gossipT& m);
   void on_ping(const std::string& from, const wire::pingT& m);
   void on_pong(const std::string& from, const wire::pongT& m);
   void on_share_hint(const wire::share_hintT& m);
@@ -52,11 +52,7 @@
   void on_handover_done(const std::string& from,
                         const wire::slot_handover_doneT& m);
 
-  /// A member that settings name; contacted until it answers.
-  void add_seed(const std::string& node, const std::string& address);
-
-  /// Tells the others whether the target beside this node takes work.
-  void set_ready(bool ready);
+  gossip_agent& gossip() { return m_gossip; }
 
   /// Begins to hand over slots; `handed_over` says when none is left.
   void start_handover();
@@ -66,22 +62,17 @@
   void leave();
 
 private:
-  void join();
-  void gossip_to(const std::string& node, bool answer_wanted,
-                 std::size_t samples);
+  gossip_agent::parts gossip_parts();
   void tick_lease();
   void tick_slots();
   void tick_sweep();
   void tick_report();
   void tick_handover();
-  void tell_members();
   void announce_slots();
   bool owner_known(std::uint32_t slot) const;
   std::string successor(std::uint32_t slot,
                         const std::set<std::string>& tried) const;
   void hand_over_now(std::uint32_t slot);
-  void write_member_row();
-  std::string member_row_key() const;
   void write_report();
 
   struct handover {
@@ -93,23 +84,18 @@
 
   parts m_parts;
   const clock_reading& m_clock;
+  gossip_agent m_gossip;
   std::map<std::uint32_t, handover> m_handovers;
-  std::map<std::string, member_state> m_told_states;
   std::set<std::uint32_t> m_expected_slots;
   instant m_started_at{0};
-  instant m_gossip_at{0};
   instant m_slots_at{0};
   instant m_sweep_at{0};
   instant m_fleet_sweep_at{0};
   instant m_report_at{0};
-  instant m_join_at{0};
   instant m_handover_at{0};
-  std::uint64_t m_member_row_version = 0;
   std::uint64_t m_report_version = 0;
   std::string m_reported;
   bool m_started = false;
-  bool m_joined = false;
-  bool m_row_written = false;
   bool m_report_busy = false;
   bool m_slots_changed = false;
   bool m_leaving = false;
--- /dev/null
+++ b/src/kingcupslip/core/gossip_agent.hpp
@@ -0,0 +1,80 @@
+// Membership duties of a node: joining, gossip and what it says of itself.
+#ifndef KINGCUPSLIP_CORE_GOSSIP_AGENT_HPP
+#define KINGCUPSLIP_CORE_GOSSIP_AGENT_HPP
+
+#include "kingcupslip/core/log_event.hpp"
+#include "kingcupslip/core/member_table.hpp"
+#include "kingcupslip/core/message_sender.hpp"
+#include "kingcupslip/core/node_identity.hpp"
+#include "kingcupslip/core/quarantine.hpp"
+#include "kingcupslip/core/table.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace kingcupslip {
+
+class gossip_agent {
+public:
+  struct parts {
+    node_identity self;
+    member_table& members;
+    quarantine& crashes;
+    table_hooks table;
+    message_sender send;
+    member_table::random_source random;
+    event_sink log;
+    /// Adds what the owner spreads with every gossip.
+    std::function<void(wire::gossipT&)> fill;
+    /// The owner's part of what a peer spreads.
+    std::function<void(const std::string& from, const wire::gossipT&)> on_news;
+  };
+
+  gossip_agent(parts p, const clock_reading& clock);
+
+  void tick();
+  void on_gossip(const std::string& from, const wire::gossipT& m);
+
+  /// A member that settings name; contacted until it answers.
+  void add_seed(const std::string& node, const std::string& address);
+
+  /// Tells the others whether the target beside this node takes work, and
+  /// how many requests at once it bears.
+  void set_ready(bool ready, double limit = 0);
+  /// The service of the target beside this node.
+  void set_service(const std::string& service);
+
+  /// Gossips to `most` random members now.
+  void spread(std::size_t most);
+
+  /// Says goodbye and takes this node's row back; the last call.
+  void leave();
+
+  /// Whether this node is in the table and has read who else is.
+  bool joined() const { return m_joined; }
+
+private:
+  void join();
+  void gossip_to(const std::string& node, bool answer_wanted,
+                 std::size_t samples);
+  void probe_buried_member();
+  void tell_members();
+  void write_member_row();
+  std::string member_row_key() const;
+
+  parts m_parts;
+  const clock_reading& m_clock;
+  std::map<std::string, member_state> m_told_states;
+  instant m_gossip_at{0};
+  instant m_join_at{0};
+  std::uint64_t m_member_row_version = 0;
+  bool m_joined = false;
+  bool m_row_written = false;
+};
+
+} // namespace kingcupslip
+
+#endif
--- a/src/kingcupslip/core/header_names.cpp
+++ b/src/kingcupslip/core/header_names.cpp
@@ -20,12 +20,6 @@
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
 
-bool is_hop_by_hop(std::string_view name) {
-  return std::any_of(
-      hop_by_hop.begin(), hop_by_hop.end(),
-      [name](std::string_view it) { return same_header(it, name); });
-}
-
 bool is_own(std::string_view name) {
   return same_header(name.substr(0, own_prefix.size()), own_prefix);
 }
@@ -38,6 +32,12 @@
                     [](char x, char y) { return lower(x) == lower(y); });
 }
 
+bool is_hop_by_hop(std::string_view name) {
+  return std::any_of(
+      hop_by_hop.begin(), hop_by_hop.end(),
+      [name](std::string_view it) { return same_header(it, name); });
+}
+
 bool passes_to_target(std::string_view name) {
   return !is_hop_by_hop(name) && !is_own(name) &&
          !same_header(name, header_names::authorization) &&
--- a/src/kingcupslip/core/header_names.hpp
+++ b/src/kingcupslip/core/header_names.hpp
@@ -20,6 +20,9 @@
 /// Compares header names, which ignore case.
 bool same_header(std::string_view a, std::string_view b);
 
+/// Whether a field concerns one connection only.
+bool is_hop_by_hop(std::string_view name);
+
 /// Whether a caller's field may go on to a target: hop-by-hop fields, keys
 /// and the fields that nodes set themselves may not.
 bool passes_to_target(std::string_view name);
--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -22,10 +22,19 @@
       {event_id::config_applied, "config_applied", event_level::info},
       {event_id::config_stale, "config_stale", event_level::warning},
       {event_id::config_written, "config_written", event_level::info},
+      {event_id::config_unreadable, "config_unreadable", event_level::error},
+      {event_id::data_centres_out, "data_centres_out", event_level::info},
+      {event_id::table_lost, "table_lost", event_level::warning},
+      {event_id::table_regained, "table_regained", event_level::info},
       {event_id::lease_lost, "lease_lost", event_level::warning},
       {event_id::slots_changed, "slots_changed", event_level::info},
       {event_id::admin_refused, "admin_refused", event_level::warning},
       {event_id::admin_change, "admin_change", event_level::info},
+      {event_id::request_answered, "request_answered", event_level::info},
+      {event_id::request_refused, "request_refused", event_level::info},
+      {event_id::lines_dropped, "lines_dropped", event_level::warning},
+      {event_id::announcement_ignored, "announcement_ignored",
+       event_level::warning},
   };
   return events;
 }
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -31,10 +31,18 @@
   config_applied = 400,
   config_stale = 401,
   config_written = 402,
+  config_unreadable = 403,
+  data_centres_out = 404,
+  table_lost = 405,
+  table_regained = 406,
   lease_lost = 500,
   slots_changed = 501,
   admin_refused = 600,
-  admin_change = 601
+  admin_change = 601,
+  request_answered = 700,
+  request_refused = 701,
+  lines_dropped = 702,
+  announcement_ignored = 704
 };
 
 struct event_info {
--- a/src/kingcupslip/core/member_table.cpp
+++ b/src/kingcupslip/core/member_table.cpp
@@ -66,6 +66,12 @@
 bool member_table::merge(const wire::memberT& news, instant now) {
   if (news.node == m_self) {
     member& me = m_members[m_self];
+    if (news.incarnation > me.info.incarnation) {
+      // An earlier life on a clock that has been set back since.
+      me.info.incarnation = news.incarnation + 1;
+      spread(me);
+      return true;
+    }
     const bool about_this_life =
         news.incarnation == me.info.incarnation && news.beat >= me.info.beat;
     if (about_this_life && news.state != me.info.state) {
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -25,6 +25,15 @@
   return o;
 }
 
+target_options target_options_for(const node_options& o) {
+  target_options out;
+  out.service = o.self.service;
+  out.fleet_secret = o.fleet_secret;
+  out.most_in_flight = o.most_in_flight;
+  out.plain_forwarding = o.dispatch.plain_forwarding;
+  return out;
+}
+
 } // namespace
 
 node::node(node_options options, node_hooks hooks)
@@ -53,12 +62,15 @@
           },
           m_hooks.random),
       m_calls(m_hooks.random() & origin_mask),
-      m_local(target_options{m_options.self.service, m_options.fleet_secret,
-                             m_options.most_in_flight,
-                             m_options.dispatch.plain_forwarding},
-              m_hooks.target, m_clock, m_crashes),
-      m_dispatch(m_options.dispatch, m_clock, m_members, m_config, m_calls,
-                 m_local, m_hooks.send, m_hooks.random),
+      m_local(target_options_for(m_options), m_hooks.target, m_clock,
+              m_crashes),
+      m_dispatch(
+          m_options.dispatch, m_clock, m_members,
+          [this](const wire::memberT& m) {
+            return m_config.target_out(m.node) ||
+                   m_config.data_centre_out(m.data_centre);
+          },
+          m_calls, m_local, m_hooks.send, m_hooks.random),
       m_owner(m_clock, m_slots, m_dispatch),
       m_entry(with_secret(m_options.entry, m_options.fleet_secret),
               entry_stage::parts{m_config, m_sync, m_members, m_shares,
@@ -76,7 +88,7 @@
   m_agent.tick();
   tick_config();
   m_local.tick();
-  m_agent.set_ready(m_local.ready());
+  m_agent.gossip().set_ready(m_local.ready());
   m_dispatch.tick();
   m_entry.tick();
   m_owner.tick();
@@ -119,7 +131,7 @@
     m_agent.on_pong(from, *body.Aspong());
     break;
   case wire::payload::gossip:
-    m_agent.on_gossip(from, *body.Asgossip());
+    m_agent.gossip().on_gossip(from, *body.Asgossip());
     break;
   case wire::payload::config_pull:
     m_sync.on_pull(from, *body.Asconfig_pull(), m_clock.now);
@@ -145,6 +157,10 @@
     break;
   case wire::payload::hello:
   case wire::payload::hello_proof:
+  case wire::payload::desired_state_pull:
+  case wire::payload::desired_state:
+  case wire::payload::quota_ask:
+  case wire::payload::quota_grant:
   case wire::payload::NONE:
     break;
   }
@@ -161,12 +177,15 @@
 }
 
 void node::on_target_announce(const std::string& instance, bool draining) {
-  m_local.on_announce(instance, draining);
-  m_agent.set_ready(m_local.ready());
+  target_announcement a;
+  a.instance = instance;
+  a.draining = draining;
+  m_local.on_announce(a);
+  m_agent.gossip().set_ready(m_local.ready());
 }
 
 void node::add_seed(const std::string& name, const std::string& address) {
-  m_agent.add_seed(name, address);
+  m_agent.gossip().add_seed(name, address);
 }
 
 void node::start_draining() {
@@ -177,7 +196,7 @@
   m_drain_at = m_clock.now;
   m_hooks.log(event_id::node_draining, {});
   m_local.start_draining();
-  m_agent.set_ready(false);
+  m_agent.gossip().set_ready(false);
   m_agent.start_handover();
 }
 
--- a/src/kingcupslip/core/rate_gate.cpp
+++ b/src/kingcupslip/core/rate_gate.cpp
@@ -19,20 +19,20 @@
 
 } // namespace
 
-rate_gate::rate_gate(share_book& shares, const clock_reading& clock)
-    : m_shares(shares), m_clock(clock) {}
+rate_gate::rate_gate(token_source tokens, const clock_reading& clock)
+    : m_tokens(std::move(tokens)), m_clock(clock) {}
 
 void rate_gate::enter(const std::string& team, instant deadline,
                       next_step next) {
-  m_shares.count(team, m_clock.now);
+  m_tokens.count(team, m_clock.now);
   line& l = m_lines[team];
-  if (l.empty() && m_shares.take(team, m_clock.now)) {
+  if (l.empty() && m_tokens.take(team, m_clock.now)) {
     next(true, duration(0));
     return;
   }
   const duration patience =
       std::min(longest_wait, (deadline - m_clock.now) / part_of_time_left);
-  const duration expected = m_shares.expected_wait(team, l.size(), m_clock.now);
+  const duration expected = m_tokens.expected_wait(team, l.size(), m_clock.now);
   if (expected > patience) {
     next(false, retry_after(expected));
     return;
@@ -48,7 +48,7 @@
 
 void rate_gate::advance(const std::string& team, line& l) {
   while (!l.empty()) {
-    const bool passed = m_shares.take(team, m_clock.now);
+    const bool passed = m_tokens.take(team, m_clock.now);
     if (!passed && m_clock.now < l.front().give_up_at) {
       return;
     }
@@ -56,7 +56,7 @@
     l.pop_front();
     const duration expected =
         passed ? duration(0)
-               : m_shares.expected_wait(team, l.size(), m_clock.now);
+               : m_tokens.expected_wait(team, l.size(), m_clock.now);
     next(passed, retry_after(expected));
   }
 }
--- a/src/kingcupslip/core/rate_gate.hpp
+++ b/src/kingcupslip/core/rate_gate.hpp
@@ -2,7 +2,6 @@
 #ifndef KINGCUPSLIP_CORE_RATE_GATE_HPP
 #define KINGCUPSLIP_CORE_RATE_GATE_HPP
 
-#include "kingcupslip/core/share_book.hpp"
 #include "kingcupslip/core/time.hpp"
 
 #include <cstddef>
@@ -13,6 +12,18 @@
 
 namespace kingcupslip {
 
+/// Where a team's tokens come from.
+struct token_source {
+  /// Counts one request as demand; each request once.
+  std::function<void(const std::string& team, instant now)> count;
+  std::function<bool(const std::string& team, instant now)> take;
+  /// When a token should be there for a request behind `ahead` others;
+  /// `duration::max()` where none is in sight.
+  std::function<duration(const std::string& team, std::size_t ahead,
+                         instant now)>
+      expected_wait;
+};
+
 /// A team's rate is split over nodes in small shares, so a node's own share
 /// may be out for a moment while the team is well within its rate. Requests
 /// wait in line for the next token where it is surely near.
@@ -24,7 +35,7 @@
   /// `retry_after` says when a token should be there.
   using next_step = std::function<void(bool passed, duration retry_after)>;
 
-  rate_gate(share_book& shares, const clock_reading& clock);
+  rate_gate(token_source tokens, const clock_reading& clock);
 
   void enter(const std::string& team, instant deadline, next_step next);
   void tick();
@@ -37,7 +48,7 @@
   using line = std::deque<waiting_request>;
   void advance(const std::string& team, line& l);
 
-  share_book& m_shares;
+  token_source m_tokens;
   const clock_reading& m_clock;
   std::map<std::string, line> m_lines;
 };
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -84,6 +84,9 @@
   out.body = c.body;
   out.api_key_id = c.api_key_id;
   out.peek = c.peek;
+  out.host = c.host;
+  out.request_id = c.request_id;
+  out.caller_service = c.caller_service;
   return out;
 }
 
--- a/src/kingcupslip/core/retry_ratio.cpp
+++ b/src/kingcupslip/core/retry_ratio.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr double tokens_per_try = 0.1;
-constexpr double most_tokens = 10;
 constexpr double closed_share = 0.5;
 constexpr double fewest_tries = 10;
 constexpr duration half_life = std::chrono::seconds(1);
@@ -18,8 +16,14 @@
 
 } // namespace
 
+void retry_ratio::set_options(options o) {
+  m_options = o;
+  m_tokens = std::min(m_tokens, m_options.most_tokens);
+}
+
 void retry_ratio::on_first_try() {
-  m_tokens = std::min(most_tokens, m_tokens + tokens_per_try);
+  m_tokens =
+      std::min(m_options.most_tokens, m_tokens + m_options.tokens_per_try);
 }
 
 void retry_ratio::on_result(bool overloaded, instant now) {
--- a/src/kingcupslip/core/retry_ratio.hpp
+++ b/src/kingcupslip/core/retry_ratio.hpp
@@ -9,10 +9,21 @@
 
 namespace kingcupslip {
 
-/// One per service at each node. First tries earn a tenth of a retry each;
+/// One per service at each node. First tries earn a part of a retry each;
 /// while half of the recent tries were refused for overload, none is spent.
 class retry_ratio {
 public:
+  struct options {
+    double tokens_per_try = 0.1;
+    double most_tokens = 10;
+  };
+
+  retry_ratio() : retry_ratio(options{}) {}
+  explicit retry_ratio(options o) : m_options(o), m_tokens(o.most_tokens) {}
+
+  /// Follows the size of the fleet, over which an allowance is split.
+  void set_options(options o);
+
   void on_first_try();
   void on_result(bool overloaded, instant now);
 
@@ -24,7 +35,8 @@
 private:
   void age(instant now);
 
-  double m_tokens = 10;
+  options m_options;
+  double m_tokens;
   double m_tries = 0;
   double m_overloaded = 0;
   instant m_aged_at{0};
--- /dev/null
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -0,0 +1,230 @@
+// The order of checks for requests that are routed by host and path.
+#include "kingcupslip/core/routed_entry.hpp"
+
+#include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/core/reply_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+/// Callers come back after a part of the time they have left.
+constexpr int return_part = 4;
+constexpr std::chrono::milliseconds longest_return{1000};
+constexpr std::chrono::milliseconds shortest_return{50};
+constexpr std::chrono::milliseconds start_return{500};
+
+std::uint64_t digest_of(const routed_request& r) {
+  std::string text = r.method + " " + r.host + r.path + "\n";
+  text += r.api_key.value_or("") + "\n";
+  text.append(r.body.begin(), r.body.end());
+  return digest64(text);
+}
+
+} // namespace
+
+routed_entry::routed_entry(parts p, const clock_reading& clock)
+    : m_parts(std::move(p)), m_clock(clock),
+      m_gate(m_parts.quota.source(), clock) {}
+
+void routed_entry::on_request(routed_request request, outcome_handler handler) {
+  const route_table* table = m_parts.state.routes();
+  const entered_ptr e = std::make_shared<entered>();
+  e->arrived = m_clock.now;
+  e->deadline = m_clock.now + request.time_left.value_or(longest_return);
+  e->request = std::move(request);
+  e->handler = std::move(handler);
+  ++m_in_progress;
+  if (table == nullptr) {
+    finish(e, refusal(reason::starting, verdict::not_run, start_return));
+    return;
+  }
+  const host_route* route = table->find_route(e->request.host, e->request.path);
+  if (route == nullptr || route->services.empty()) {
+    finish(e, refusal(reason::unknown_service));
+    return;
+  }
+  e->route_name = route->name;
+  const team_terms* team =
+      e->request.api_key ? table->find_key(*e->request.api_key) : nullptr;
+  const bool needs_key = !route->open && !table->teams().empty();
+  if (needs_key && team == nullptr) {
+    finish(e,
+           refusal(e->request.api_key ? reason::unknown_key : reason::no_key));
+    return;
+  }
+  e->team = team == nullptr ? "" : team->name;
+  const std::chrono::milliseconds left =
+      std::min(e->request.time_left.value_or(route->timeout), route->timeout);
+  e->deadline = m_clock.now + left;
+  m_counts.on_asked({e->team, e->route_name});
+  if (e->request.connection != 0) {
+    m_by_connection[e->request.connection] = e;
+  }
+  if (m_parts.crashes.condemned(digest_of(e->request), m_clock.now)) {
+    finish(e, refusal(reason::quarantined));
+    return;
+  }
+  const bool limited = needs_key && team->rate_per_s > 0;
+  if (!limited) {
+    pass(e);
+    return;
+  }
+  m_gate.enter(
+      e->team, e->deadline, [this, e](bool passed, duration retry_after) {
+        if (!passed) {
+          finish(e, refusal(reason::over_rate, verdict::not_run,
+                            std::chrono::ceil<std::chrono::milliseconds>(
+                                retry_after)));
+          return;
+        }
+        e->counted_in_quota = true;
+        pass(e);
+      });
+}
+
+void routed_entry::pass(const entered_ptr& e) {
+  if (e->gone) {
+    finish(e, refusal(reason::cancelled));
+    return;
+  }
+  // Routes and keys may have changed while the request waited.
+  const std::shared_ptr<const route_table> table =
+      m_parts.state.shared_routes();
+  const host_route* route = table->find_route(e->request.host, e->request.path);
+  if (route == nullptr || route->services.empty()) {
+    finish(e, refusal(reason::unknown_service));
+    return;
+  }
+  const team_terms* team =
+      e->request.api_key ? table->find_key(*e->request.api_key) : nullptr;
+  if (team == nullptr && !route->open && !table->teams().empty()) {
+    finish(e, refusal(reason::withdrawn_key));
+    return;
+  }
+  e->service = choose_service(*route);
+  const std::shared_ptr<dispatch_job> job = std::make_shared<dispatch_job>();
+  job->request = make_call(*e, *route, team);
+  job->deadline = e->deadline;
+  job->most_targets = std::max<std::uint32_t>(1, route->most_targets);
+  job->on_retry = [this, key = tally_key{e->team, e->route_name}](reason why) {
+    m_counts.on_retry(key, why);
+  };
+  job->done = [this, e](outcome o) { finish(e, std::move(o)); };
+  e->job = job;
+  m_parts.dispatch.dispatch(job);
+}
+
+void routed_entry::on_caller_gone(std::uint64_t connection) {
+  const auto it = m_by_connection.find(connection);
+  if (it == m_by_connection.end()) {
+    return;
+  }
+  const entered_ptr e = it->second.lock();
+  m_by_connection.erase(it);
+  if (!e) {
+    return;
+  }
+  e->gone = true;
+  if (e->job) {
+    m_parts.dispatch.cancel(e->job);
+  }
+}
+
+void routed_entry::finish(const entered_ptr& e, outcome o) {
+  --m_in_progress;
+  if (e->request.connection != 0) {
+    m_by_connection.erase(e->request.connection);
+  }
+  if (e->counted_in_quota && o.ran == verdict::not_run) {
+    m_parts.quota.give_back(e->team, m_clock.now);
+  }
+  const bool waiting_helps = o.why != reason::none &&
+                             o.ran == verdict::not_run &&
+                             info_of(o.why).waiting_helps;
+  if (waiting_helps) {
+    o.retry_after = std::max(o.retry_after, wait_before_return(*e));
+  }
+  m_counts.on_outcome({e->team, e->route_name}, o);
+  log_end(*e, o);
+  e->job.reset();
+  const outcome_handler handler = std::move(e->handler);
+  handler(std::move(o));
+}
+
+void routed_entry::log_end(const entered& e, const outcome& o) {
+  const bool refused = o.why != reason::none;
+  const route_table* table = m_parts.state.routes();
+  m_parts.log(refused ? event_id::request_refused : event_id::request_answered,
+              {{"request", e.request.id},
+               {"route", e.route_name},
+               {"service", e.service},
+               {"team", e.team},
+               {"reason", std::string(info_of(o.why).name)},
+               {"verdict", std::string(name_of(o.ran))},
+               {"status", std::to_string(o.status)},
+               {"retries", std::to_string(o.retries_used)},
+               {"took_us", std::to_string((m_clock.now - e.arrived).count())},
+               {"left_us", std::to_string((e.deadline - m_clock.now).count())},
+               {"routes", table == nullptr ? "" : table->version()},
+               {"state_age_ms", std::to_string(m_parts.state.age() /
+                                               std::chrono::milliseconds(1))}});
+}
+
+const std::string& routed_entry::choose_service(const host_route& route) {
+  if (route.services.size() == 1) {
+    return route.services.front().service;
+  }
+  std::map<std::string, double>& owed = m_owed[route.name];
+  double total = 0;
+  const weighted_service* best = nullptr;
+  for (const weighted_service& it : route.services) {
+    total += it.weight;
+    owed[it.service] += it.weight;
+    if (best == nullptr || owed[it.service] > owed[best->service]) {
+      best = &it;
+    }
+  }
+  owed[best->service] -= total;
+  return best->service;
+}
+
+wire::callT routed_entry::make_call(entered& e, const host_route& route,
+                                    const team_terms* team) const {
+  wire::callT call;
+  call.service = e.service;
+  call.host = e.request.host;
+  call.path = e.request.path;
+  call.method = e.request.method;
+  call.request_id = e.request.id;
+  call.caller_service = m_parts.local.service();
+  call.team = e.team;
+  const std::uint32_t urgency =
+      team != nullptr && team->urgency ? *team->urgency : route.urgency;
+  call.priority = static_cast<std::uint8_t>(rank_of_urgency(urgency));
+  call.retries = route.most_targets > 1 ? route.most_targets - 1 : 0;
+  call.idempotent = route.idempotent;
+  call.patient = true;
+  call.digest = digest_of(e.request);
+  call.headers = to_wire(e.request.headers);
+  call.body = std::move(e.request.body);
+  return call;
+}
+
+std::chrono::milliseconds
+routed_entry::wait_before_return(const entered& e) const {
+  const std::chrono::milliseconds left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(e.deadline -
+                                                            m_clock.now);
+  const std::chrono::milliseconds most =
+      std::min(longest_return, std::max(shortest_return, left / return_part));
+  // Spread, so that those refused together do not return together.
+  const std::uint64_t half = static_cast<std::uint64_t>(most.count() / 2 + 1);
+  return most / 2 + std::chrono::milliseconds(
+                        static_cast<std::int64_t>(m_parts.random() % half));
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -0,0 +1,99 @@
+// Where requests enter that are routed by host and path.
+#ifndef KINGCUPSLIP_CORE_ROUTED_ENTRY_HPP
+#define KINGCUPSLIP_CORE_ROUTED_ENTRY_HPP
+
+#include "kingcupslip/core/desired_state.hpp"
+#include "kingcupslip/core/dispatcher.hpp"
+#include "kingcupslip/core/outcome.hpp"
+#include "kingcupslip/core/quarantine.hpp"
+#include "kingcupslip/core/rate_gate.hpp"
+#include "kingcupslip/core/route_table.hpp"
+#include "kingcupslip/core/tally.hpp"
+#include "kingcupslip/core/team_quota.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcupslip {
+
+/// A request as its caller sent it, with the caller's own fields decoded.
+struct routed_request {
+  std::string id; ///< differs for each attempt of the caller
+  std::string method;
+  std::string host;
+  std::string path; ///< with the query, as sent
+  std::optional<std::string> api_key;
+  std::optional<std::chrono::milliseconds> time_left;
+  std::vector<header> headers; ///< those that pass on unchanged
+  body_bytes body;
+  std::uint64_t connection = 0;
+};
+
+class routed_entry {
+public:
+  struct parts {
+    const desired_state& state;
+    dispatcher& dispatch;
+    const target_stage& local;
+    team_quota& quota;
+    quarantine& crashes;
+    member_table::random_source random;
+    event_sink log;
+  };
+
+  routed_entry(parts p, const clock_reading& clock);
+
+  /// Handles one request; `handler` runs exactly once.
+  void on_request(routed_request request, outcome_handler handler);
+
+  /// The connection closed: what still runs for it is cancelled.
+  void on_caller_gone(std::uint64_t connection);
+
+  void tick() { m_gate.tick(); }
+
+  std::size_t in_progress() const { return m_in_progress; }
+  const tally& counts() const { return m_counts; }
+
+private:
+  /// A request between its arrival and its answer.
+  struct entered {
+    routed_request request;
+    std::string route_name;
+    std::string service;
+    std::string team; ///< empty without a key
+    bool counted_in_quota = false;
+    bool gone = false; ///< its caller went away
+    instant arrived{0};
+    instant deadline{0};
+    std::shared_ptr<dispatch_job> job;
+    outcome_handler handler;
+  };
+  using entered_ptr = std::shared_ptr<entered>;
+
+  void pass(const entered_ptr& e);
+  void finish(const entered_ptr& e, outcome o);
+  void log_end(const entered& e, const outcome& o);
+  const std::string& choose_service(const host_route& route);
+  wire::callT make_call(entered& e, const host_route& route,
+                        const team_terms* team) const;
+  std::chrono::milliseconds wait_before_return(const entered& e) const;
+
+  parts m_parts;
+  const clock_reading& m_clock;
+  rate_gate m_gate;
+  tally m_counts;
+  /// Smooth weighted round robin: by route, what each service is owed.
+  std::map<std::string, std::map<std::string, double>> m_owed;
+  std::unordered_map<std::uint64_t, std::weak_ptr<entered>> m_by_connection;
+  std::size_t m_in_progress = 0;
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -0,0 +1,257 @@
+// Wiring, message routing and shutdown of a node that routes by host and path.
+#include "kingcupslip/core/routed_node.hpp"
+
+#include "kingcupslip/core/reply_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr std::uint64_t origin_mask = 0xffffff;
+/// Readiness is asked once a second, and two misses turn callers away.
+constexpr duration callers_turn_away = std::chrono::milliseconds(3000);
+/// Time for goodbyes to get out.
+constexpr duration leave_span = std::chrono::milliseconds(200);
+/// What is left of the time to be gone in when the last answers are cut.
+constexpr duration exit_margin = std::chrono::milliseconds(300);
+/// A retry makes nested calls, which count as retries too, one level for
+/// each service on the way.
+constexpr double retry_levels = 4;
+
+target_options target_options_for(const routed_options& o,
+                                  const target_protocol& protocol) {
+  target_options out;
+  out.service = o.self.service;
+  out.most_in_flight = o.most_in_flight;
+  out.announce_timeout = o.announce_timeout;
+  out.answer_grace = std::chrono::milliseconds(50);
+  out.protocol = protocol;
+  return out;
+}
+
+} // namespace
+
+routed_node::routed_node(routed_options options, routed_hooks hooks)
+    : m_options(std::move(options)), m_hooks(std::move(hooks)),
+      m_members(m_options.self, m_hooks.random),
+      m_gossip({m_options.self, m_members, m_crashes, m_hooks.table,
+                m_hooks.send, m_hooks.random, m_hooks.log,
+                [this](wire::gossipT& g) { m_state.fill(g); },
+                [this](const std::string& from, const wire::gossipT& g) {
+                  m_state.on_gossip(from, g);
+                }},
+               m_clock),
+      m_state(m_hooks.watch, m_hooks.send, m_hooks.random, m_hooks.log,
+              m_clock),
+      m_calls(m_hooks.random() & origin_mask),
+      m_local(target_options_for(m_options, m_hooks.protocol), m_hooks.target,
+              m_clock, m_crashes),
+      m_dispatch(
+          dispatcher::options{false, {}, true}, m_clock, m_members,
+          [this](const wire::memberT& m) {
+            return m_state.data_centre_out(m.data_centre);
+          },
+          m_calls, m_local, m_hooks.send, m_hooks.random),
+      m_quota(m_members, m_hooks.send, m_hooks.random),
+      m_entry(routed_entry::parts{m_state, m_dispatch, m_local, m_quota,
+                                  m_crashes, m_hooks.random, m_hooks.log},
+              m_clock) {
+  m_state.set_on_change([this] { apply_desired_state(); });
+}
+
+void routed_node::tick() {
+  m_gossip.tick();
+  m_state.tick();
+  follow_fleet_size();
+  m_quota.tick(m_clock.now);
+  m_local.tick();
+  m_gossip.set_service(m_local.service());
+  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+  m_dispatch.tick();
+  m_entry.tick();
+  m_calls.expire(m_clock.now);
+  tick_drain();
+}
+
+void routed_node::on_request(routed_request request, outcome_handler handler) {
+  m_entry.on_request(std::move(request), std::move(handler));
+}
+
+void routed_node::on_caller_gone(std::uint64_t connection) {
+  m_entry.on_caller_gone(connection);
+}
+
+void routed_node::on_message(const std::string& from,
+                             wire::payloadUnion& body) {
+  switch (body.type) {
+  case wire::payload::call:
+    on_call(from, std::move(*body.Ascall()));
+    break;
+  case wire::payload::reply:
+    m_dispatch.on_load(from, *body.Asreply());
+    m_members.on_heard(from, m_clock.now);
+    m_calls.on_reply(from, *body.Asreply());
+    break;
+  case wire::payload::cancel: {
+    const auto it = m_inbound.find({from, body.Ascancel()->correlation});
+    if (it != m_inbound.end()) {
+      m_local.cancel(it->second);
+    }
+    break;
+  }
+  case wire::payload::gossip:
+    m_gossip.on_gossip(from, *body.Asgossip());
+    break;
+  case wire::payload::desired_state_pull:
+    m_state.on_pull(from, *body.Asdesired_state_pull());
+    break;
+  case wire::payload::desired_state:
+    m_state.on_state(*body.Asdesired_state());
+    break;
+  case wire::payload::quota_ask:
+    m_quota.on_ask(from, *body.Asquota_ask(), m_clock.now);
+    break;
+  case wire::payload::quota_grant:
+    m_quota.on_grant(*body.Asquota_grant(), m_clock.now);
+    break;
+  default:
+    // Messages of nodes that keep idempotency keys and contracts.
+    break;
+  }
+}
+
+void routed_node::on_call_unsent(std::uint64_t correlation) {
+  m_calls.on_unsent(correlation);
+}
+
+void routed_node::on_peer_lost(const std::string& peer) {
+  m_calls.on_peer_lost(peer);
+}
+
+void routed_node::on_target_result(std::uint64_t run, target_result result) {
+  m_local.on_result(run, std::move(result));
+}
+
+void routed_node::on_target_announce(target_announcement a) {
+  const route_table* table = m_state.routes();
+  const service_terms* terms =
+      table == nullptr ? nullptr : table->find_service(a.service);
+  a.cold_per_s = terms == nullptr ? 0 : terms->cold_per_s;
+  m_local.on_announce(a);
+  m_gossip.set_service(m_local.service());
+  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+}
+
+void routed_node::on_target_leave(const std::string& instance,
+                                  std::uint64_t born) {
+  m_local.on_leave(instance, born);
+  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+}
+
+bool routed_node::ready() const {
+  // Without other members the parts of the teams' rates are not known.
+  const bool knows_fleet = m_gossip.joined() || m_members.all().size() > 1;
+  return m_state.routes() != nullptr && knows_fleet && !m_drain_began;
+}
+
+void routed_node::start_draining() {
+  if (m_drain_began) {
+    return;
+  }
+  m_drain_began = true;
+  m_drain_at = m_clock.now;
+  m_hooks.log(event_id::node_draining, {});
+  m_local.start_draining();
+  m_gossip.set_ready(false);
+}
+
+bool routed_node::closing() const {
+  return m_drain_began && m_clock.now - m_drain_at >= callers_turn_away;
+}
+
+std::string routed_node::address_of(const std::string& peer) {
+  const member* m = m_members.find(peer);
+  return m == nullptr ? std::string() : m->info.address;
+}
+
+void routed_node::on_call(const std::string& from, wire::callT call) {
+  const std::uint64_t correlation = call.correlation;
+  if (!m_recent.first_sight(from, correlation)) {
+    return;
+  }
+  const instant deadline = m_clock.now + duration(call.time_left_us);
+  const std::pair<std::string, std::uint64_t> id{from, correlation};
+  m_inbound.emplace(id, 0);
+  const std::uint64_t ticket =
+      m_local.submit(std::move(call), deadline, [this, id](outcome o) {
+        m_inbound.erase(id);
+        send_reply(id.first, id.second, std::move(o));
+      });
+  const auto it = m_inbound.find(id);
+  if (it != m_inbound.end()) {
+    it->second = ticket;
+  }
+}
+
+void routed_node::send_reply(const std::string& to, std::uint64_t correlation,
+                             outcome o) {
+  wire::replyT reply = to_reply(correlation, std::move(o));
+  reply.limit = static_cast<float>(m_local.limit());
+  reply.in_flight = static_cast<std::uint32_t>(m_local.in_flight());
+  reply.queued = static_cast<std::uint32_t>(m_local.queued());
+  wire::payloadUnion body;
+  body.Set(std::move(reply));
+  m_hooks.send(to, std::move(body));
+}
+
+void routed_node::apply_desired_state() {
+  const route_table* table = m_state.routes();
+  if (table != nullptr) {
+    m_quota.apply(*table, m_clock.now);
+  }
+  const bool out = m_state.data_centre_out(m_options.self.data_centre);
+  m_local.set_out(out);
+  if (m_out && !out && table != nullptr) {
+    // It may have become cold meanwhile; its next announcement says.
+    const service_terms* terms = table->find_service(m_local.service());
+    if (terms != nullptr) {
+      m_local.assume_cold(terms->cold_start, terms->cold_per_s);
+    }
+  }
+  m_out = out;
+  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+  m_gossip.spread(2);
+}
+
+void routed_node::tick_drain() {
+  if (!m_drain_began || m_left) {
+    return;
+  }
+  const duration since = m_clock.now - m_drain_at;
+  const bool idle = m_entry.in_progress() == 0 && m_local.idle();
+  const bool out_of_time = since >= m_options.drain_limit - exit_margin;
+  if (!m_leaving && ((closing() && idle) || out_of_time)) {
+    m_leaving = true;
+    m_leave_at = m_clock.now;
+    m_gossip.leave();
+  }
+  m_left = m_leaving && m_clock.now - m_leave_at >= leave_span;
+}
+
+void routed_node::follow_fleet_size() {
+  const std::size_t n = m_members.all().size();
+  if (n == m_fleet_size) {
+    return;
+  }
+  m_fleet_size = n;
+  retry_ratio::options o;
+  o.tokens_per_try = m_options.retry_part / retry_levels;
+  o.most_tokens =
+      std::max(1.0, m_options.retry_slack / 2 / static_cast<double>(n));
+  m_dispatch.set_retry_options(o);
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -0,0 +1,110 @@
+// A node that routes by host and path, wired together behind hooks.
+#ifndef KINGCUPSLIP_CORE_ROUTED_NODE_HPP
+#define KINGCUPSLIP_CORE_ROUTED_NODE_HPP
+
+#include "kingcupslip/core/gossip_agent.hpp"
+#include "kingcupslip/core/recent_calls.hpp"
+#include "kingcupslip/core/routed_entry.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace kingcupslip {
+
+/// Everything that leaves the core.
+struct routed_hooks {
+  message_sender send;
+  target_hooks target;
+  target_protocol protocol;
+  table_hooks table;
+  watch_hooks watch;
+  member_table::random_source random;
+  event_sink log;
+};
+
+struct routed_options {
+  node_identity self;
+  std::size_t most_in_flight = 1000;
+  duration announce_timeout = std::chrono::seconds(6);
+  /// Retries of a service over the whole fleet: a part of its requests, and
+  /// so many beside.
+  double retry_part = 0.2;
+  double retry_slack = 48;
+  /// From SIGTERM until the process has to be gone.
+  duration drain_limit = std::chrono::seconds(6);
+};
+
+/// Not thread-safe: one thread calls it, and sets the clock before each
+/// call. Hooks may call handlers later, from the same thread.
+class routed_node {
+public:
+  routed_node(routed_options options, routed_hooks hooks);
+
+  void set_clock(clock_reading t) { m_clock = t; }
+  const clock_reading& clock() const { return m_clock; }
+
+  void tick();
+
+  void on_request(routed_request request, outcome_handler handler);
+  void on_caller_gone(std::uint64_t connection);
+
+  void on_message(const std::string& from, wire::payloadUnion& body);
+  void on_call_unsent(std::uint64_t correlation);
+  void on_peer_lost(const std::string& peer);
+
+  void on_target_result(std::uint64_t run, target_result result);
+  void on_target_announce(target_announcement a);
+  void on_target_leave(const std::string& instance, std::uint64_t born);
+
+  /// Whether callers may be sent here.
+  bool ready() const;
+
+  /// Starts a graceful shutdown; `drained` says when it is complete.
+  void start_draining();
+  bool draining() const { return m_drain_began; }
+  /// Callers have had time to turn away; new connections end now.
+  bool closing() const;
+  bool drained() const { return m_left; }
+
+  const desired_state& state() const { return m_state; }
+  const member_table& members() const { return m_members; }
+  const target_stage& target() const { return m_local; }
+  const tally& counts() const { return m_entry.counts(); }
+  std::size_t in_progress() const { return m_entry.in_progress(); }
+  std::string address_of(const std::string& peer);
+
+private:
+  void on_call(const std::string& from, wire::callT call);
+  void send_reply(const std::string& to, std::uint64_t correlation, outcome o);
+  void apply_desired_state();
+  void tick_drain();
+  void follow_fleet_size();
+
+  routed_options m_options;
+  routed_hooks m_hooks;
+  clock_reading m_clock;
+  quarantine m_crashes;
+  member_table m_members;
+  gossip_agent m_gossip;
+  desired_state m_state;
+  pending_calls m_calls;
+  target_stage m_local;
+  dispatcher m_dispatch;
+  team_quota m_quota;
+  routed_entry m_entry;
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_inbound;
+  recent_calls m_recent;
+  std::size_t m_fleet_size = 0;
+  instant m_drain_at{0};
+  instant m_leave_at{0};
+  bool m_out = false;
+  bool m_drain_began = false;
+  bool m_leaving = false;
+  bool m_left = false;
+};
+
+} // namespace kingcupslip
+
+#endif
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -7,17 +7,22 @@
 #include "kingcupslip/core/reply_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace kingcupslip {
 
 namespace {
 
-constexpr duration announce_timeout = std::chrono::milliseconds(2500);
 /// Runs that a crash broke are all lost within this span.
 constexpr duration loss_span = std::chrono::milliseconds(200);
 constexpr std::size_t least_queue = 16;
 constexpr std::size_t queue_per_limit = 4;
+constexpr double us_per_s = 1e6;
+/// Assumed before any answer has come.
+constexpr duration usual_latency = std::chrono::milliseconds(100);
+/// Starts that a cold target gets in a burst.
+constexpr double cold_burst = 3;
 constexpr std::uint16_t service_unavailable = 503;
 constexpr std::uint16_t too_many_requests = 429;
 constexpr std::chrono::milliseconds shed_retry_after{1000};
@@ -28,7 +33,7 @@
       std::min<std::size_t>(request.priority, priority_count - 1));
 }
 
-bool target_said_not_run(const target_result& r) {
+bool own_not_run(const target_result& r) {
   return std::any_of(r.headers.begin(), r.headers.end(), [](const header& h) {
     return same_header(h.name, header_names::verdict) &&
            h.value == name_of(verdict::not_run);
@@ -45,7 +50,12 @@
 target_stage::target_stage(target_options options, target_hooks hooks,
                            const clock_reading& clock, quarantine& crashes)
     : m_options(std::move(options)), m_hooks(std::move(hooks)), m_clock(clock),
-      m_crashes(crashes), m_limit(m_options.most_in_flight) {}
+      m_crashes(crashes), m_limit(m_options.most_in_flight),
+      m_service(m_options.service) {
+  if (!m_options.protocol.said_not_run) {
+    m_options.protocol.said_not_run = own_not_run;
+  }
+}
 
 std::uint64_t target_stage::submit(wire::callT request, instant deadline,
                                    outcome_handler handler) {
@@ -92,9 +102,17 @@
   }
   run r = std::move(it->second);
   learn(r, result);
-  if (result.end == target_end::lost && !r.cancelled) {
+  const bool late = m_clock.now >= r.deadline;
+  if (result.end == target_end::lost && !r.cancelled && !late) {
     note_loss(run_id);
   }
+  const bool moved = result.end == target_end::answered &&
+                     m_options.protocol.said_moved &&
+                     m_options.protocol.said_moved(result);
+  if (moved || result.end == target_end::not_connected) {
+    // Nothing more is sent until the target announces itself again.
+    fall_silent();
+  }
   m_runs.erase(run_id);
   m_run_by_ticket.erase(r.ticket);
   if (m_suspect_run == run_id) {
@@ -106,37 +124,71 @@
   start_waiting();
 }
 
-void target_stage::on_announce(const std::string& instance, bool draining) {
-  const bool fresh = instance != m_instance;
+void target_stage::on_announce(const target_announcement& a) {
+  if (stale(a)) {
+    return;
+  }
+  const bool fresh = a.instance != m_instance || a.born != m_born;
   if (fresh) {
     m_limit.restart();
-    m_hooks.log(event_id::target_announced, {{"instance", instance}});
+    m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
   if (m_loss) {
     settle_loss(fresh);
   }
-  m_instance = instance;
+  m_instance = a.instance;
+  m_born = a.born;
+  m_sequence = a.sequence;
   m_announced_at = m_clock.now;
-  m_target_draining = draining;
+  m_target_draining = a.draining;
+  m_service = a.service.empty() ? m_options.service : a.service;
+  m_slots = a.slots;
+  m_cold_until = a.cold_per_s > 0 ? m_clock.now + a.cold_left : instant(0);
+  m_cold_starts.resize(a.cold_per_s, cold_burst, m_clock.now);
   m_ready = true;
   start_waiting();
 }
 
+void target_stage::on_leave(const std::string& instance, std::uint64_t born) {
+  const bool named_life = born != 0;
+  m_left_instance = instance;
+  m_left_born = named_life ? born : m_born;
+  if (instance == m_instance && (!named_life || born == m_born)) {
+    m_target_draining = true;
+    fall_silent();
+  }
+}
+
+bool target_stage::stale(const target_announcement& a) const {
+  const bool has_left = a.instance == m_left_instance && a.born <= m_left_born;
+  if (has_left || a.born < m_born) {
+    // Sent by a life that has ended, and delayed on the way.
+    return true;
+  }
+  const bool same_life = a.instance == m_instance && a.born == m_born;
+  return same_life && a.sequence != 0 && a.sequence <= m_sequence;
+}
+
 void target_stage::tick() {
-  if (m_ready && m_clock.now - m_announced_at > announce_timeout) {
-    m_ready = false;
+  const bool silent = m_clock.now - m_announced_at > m_options.announce_timeout;
+  if (m_ready && silent) {
     m_hooks.log(event_id::target_silent, {{"instance", m_instance}});
     if (m_loss) {
       settle_loss(true);
     }
-    const auto everyone = [](const waiting_request&) { return true; };
-    for (const waiting_request& it : m_queue.remove_if(everyone)) {
-      end_held(it.id, refusal(reason::no_target));
-    }
+    fall_silent();
   }
   start_waiting();
 }
 
+void target_stage::fall_silent() {
+  m_ready = false;
+  const auto everyone = [](const waiting_request&) { return true; };
+  for (const waiting_request& it : m_queue.remove_if(everyone)) {
+    end_held(it.id, refusal(reason::no_target));
+  }
+}
+
 void target_stage::set_out(bool out) {
   if (m_out && !out) {
     m_limit.restart();
@@ -144,6 +196,13 @@
   m_out = out;
 }
 
+void target_stage::assume_cold(duration span, double cold_per_s) {
+  if (cold_per_s > 0) {
+    m_cold_until = m_clock.now + span;
+    m_cold_starts.resize(cold_per_s, cold_burst, m_clock.now);
+  }
+}
+
 void target_stage::refuse_keys(const std::vector<std::string>& key_ids) {
   const auto withdrawn = [this, &key_ids](const waiting_request& w) {
     const std::string& id = m_held.at(w.id).request.api_key_id;
@@ -168,7 +227,7 @@
   if (m_draining || m_target_draining || m_out) {
     return reason::draining;
   }
-  if (!m_ready || request.service != m_options.service) {
+  if (!m_ready || request.service != m_service) {
     return reason::no_target;
   }
   if (deadline <= m_clock.now) {
@@ -180,7 +239,7 @@
   if (m_options.plain_forwarding) {
     return std::nullopt;
   }
-  const bool must_wait = m_runs.size() >= m_limit.limit();
+  const bool must_wait = cold() || m_runs.size() >= limit();
   const bool too_late = must_wait && request.patient &&
                         expected_wait(request) > longest_wait(deadline);
   if (too_late) {
@@ -191,9 +250,10 @@
 
 void target_stage::start_waiting() {
   std::vector<shed_request> gone;
-  const std::size_t limit =
-      m_options.plain_forwarding ? m_options.most_in_flight : m_limit.limit();
-  while (m_ready && m_runs.size() < limit && m_queue.size() > 0) {
+  const std::size_t most =
+      m_options.plain_forwarding ? m_options.most_in_flight : limit();
+  while (m_ready && m_runs.size() < most && m_queue.size() > 0 &&
+         take_start()) {
     const duration service =
         m_options.plain_forwarding ? duration(0) : m_limit.floor_latency();
     std::optional<waiting_request> w = m_queue.take(m_clock.now, service, gone);
@@ -231,7 +291,11 @@
   }
   m_spans.open(r.span, call.request.retries);
   const duration left = call.deadline - m_clock.now;
-  target_request out = to_target(call.request, r.span, left);
+  target_request out =
+      m_options.protocol.encode
+          ? m_options.protocol.encode(call.request, m_instance, left)
+          : to_target(call.request, r.span, left);
+  out.time_left = left + m_options.answer_grace;
   out.body = std::move(call.request.body);
   m_run_by_ticket[ticket] = id;
   m_runs.emplace(id, std::move(r));
@@ -270,7 +334,6 @@
   target_request out;
   out.method = request.method;
   out.path = request.path;
-  out.time_left = time_left;
   out.headers = from_wire(request.headers);
   out.headers.push_back({std::string(header_names::context),
                          sign_context(context, m_options.fleet_secret)});
@@ -317,8 +380,11 @@
   case target_end::answered:
     break;
   }
+  if (m_options.protocol.said_moved && m_options.protocol.said_moved(result)) {
+    return refusal(reason::no_target, verdict::not_run, shed_retry_after);
+  }
   if (target_shed(result)) {
-    if (target_said_not_run(result)) {
+    if (m_options.protocol.said_not_run(result)) {
       return refusal(reason::target_refused, verdict::not_run,
                      shed_retry_after);
     }
@@ -372,7 +438,7 @@
   if (m_options.plain_forwarding) {
     return m_options.most_in_flight * queue_per_limit;
   }
-  return std::max(least_queue, m_limit.limit() * queue_per_limit);
+  return std::max(least_queue, limit() * queue_per_limit);
 }
 
 duration target_stage::time_to_serve() const {
@@ -397,8 +463,35 @@
   const std::size_t ahead =
       m_queue.ahead_of(rank_of(request), request.team, request.weight) + 1;
   const duration each = std::max(m_limit.recent_latency(), duration(1));
-  return each * static_cast<int>(ahead) /
-         static_cast<int>(std::max<std::size_t>(1, m_limit.limit()));
+  const duration by_slots = each * static_cast<int>(ahead) /
+                            static_cast<int>(std::max<std::size_t>(1, limit()));
+  if (!cold()) {
+    return by_slots;
+  }
+  const double us =
+      static_cast<double>(ahead) / m_cold_starts.rate_per_s() * us_per_s;
+  return std::max(by_slots, duration(static_cast<duration::rep>(us)));
+}
+
+std::size_t target_stage::limit() const {
+  // Slots that the target reports are certain; without them the limit is
+  // learned.
+  const std::size_t warm = m_slots > 0
+                               ? std::min(m_slots, m_options.most_in_flight)
+                               : m_limit.limit();
+  if (!cold()) {
+    return warm;
+  }
+  const double busy_s =
+      static_cast<double>(
+          std::max(m_limit.recent_latency(), usual_latency).count()) /
+      us_per_s;
+  const double bears = std::ceil(m_cold_starts.rate_per_s() * busy_s);
+  return std::min(warm, static_cast<std::size_t>(std::max(1.0, bears)));
+}
+
+bool target_stage::take_start() {
+  return !cold() || m_cold_starts.take(m_clock.now);
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -10,6 +10,7 @@
 #include "kingcupslip/core/quarantine.hpp"
 #include "kingcupslip/core/span_budget.hpp"
 #include "kingcupslip/core/time.hpp"
+#include "kingcupslip/core/token_bucket.hpp"
 #include "kingcupslip/wire/generated/messages.hpp"
 
 #include <cstdint>
@@ -29,7 +30,11 @@
   std::string path;
   std::vector<header> headers;
   body_bytes body;
+  /// Bounds the exchange, answer included.
   duration time_left{0};
+  /// An answer whose field of this name has another value belongs to another
+  /// request and is skipped; empty where targets name no request.
+  header echoed;
 };
 
 /// How a run at the target ended.
@@ -46,6 +51,32 @@
   body_bytes body;
 };
 
+/// What a target says of itself when it announces itself.
+struct target_announcement {
+  std::string instance; ///< the target's name for itself
+  /// Start of this life, in any unit that grows; tells lives of one name
+  /// apart. 0 where names differ at each start.
+  std::uint64_t born = 0;
+  /// Grows with each announcement of a life; 0 where it is not told.
+  std::uint64_t sequence = 0;
+  std::string service; ///< empty: as the settings say
+  bool draining = false;
+  std::size_t slots = 0; ///< requests it runs at once; 0: not known
+  duration cold_left{0}; ///< how long it still bears little
+  double cold_per_s = 0; ///< requests it bears meanwhile; 0: not limited
+};
+
+/// How requests look to the target; the product's own form by default.
+struct target_protocol {
+  std::function<target_request(const wire::callT& request,
+                               const std::string& instance, duration time_left)>
+      encode;
+  /// Whether an answer says that the request has not run.
+  std::function<bool(const target_result&)> said_not_run;
+  /// Whether it says that another target has the address now.
+  std::function<bool(const target_result&)> said_moved;
+};
+
 struct target_hooks {
   std::function<void(std::uint64_t run, target_request)> run;
   std::function<void(std::uint64_t run)> cancel;
@@ -57,6 +88,11 @@
   std::string fleet_secret;
   std::size_t most_in_flight = 1000;
   bool plain_forwarding = false; ///< the bench's baseline: no admission
+  /// Without an announcement for so long the target counts as gone.
+  duration announce_timeout = std::chrono::milliseconds(2500);
+  /// How long after its deadline a run's answer is still waited for.
+  duration answer_grace{0};
+  target_protocol protocol;
 };
 
 /// Invariant: in_flight() <= limit(), but for a limit that shrank while
@@ -75,7 +111,11 @@
   void on_result(std::uint64_t run, target_result result);
 
   /// The target says that it is there; `instance` differs at each start.
-  void on_announce(const std::string& instance, bool draining);
+  void on_announce(const target_announcement& a);
+
+  /// The target was reported to have left; it gets nothing more until
+  /// another instance announces itself.
+  void on_leave(const std::string& instance, std::uint64_t born);
 
   void tick();
   void start_draining() { m_draining = true; }
@@ -84,6 +124,9 @@
   /// Coming back in begins like a cold start.
   void set_out(bool out);
 
+  /// Treats the target as cold until its next announcement.
+  void assume_cold(duration span, double cold_per_s);
+
   /// Refuses queued work of withdrawn keys.
   void refuse_keys(const std::vector<std::string>& key_ids);
 
@@ -95,7 +138,11 @@
   }
   std::size_t in_flight() const { return m_runs.size(); }
   std::size_t queued() const { return m_queue.size(); }
-  std::size_t limit() const { return m_limit.limit(); }
+  /// Requests that may run at once now.
+  std::size_t limit() const;
+  /// The service of the target.
+  const std::string& service() const { return m_service; }
+  const std::string& instance() const { return m_instance; }
   bool idle() const { return m_runs.empty() && m_queue.size() == 0; }
   span_budget& spans() { return m_spans; }
 
@@ -139,6 +186,11 @@
   duration time_to_serve() const;
   duration longest_wait(instant deadline) const;
   duration expected_wait(const wire::callT& request) const;
+  bool cold() const { return m_clock.now < m_cold_until; }
+  /// Takes one of the starts that a cold target bears, if there is one now.
+  bool take_start();
+  void fall_silent();
+  bool stale(const target_announcement& a) const;
 
   target_options m_options;
   target_hooks m_hooks;
@@ -154,7 +206,15 @@
   std::optional<loss> m_loss;
   std::uint64_t m_next = 0;
   std::uint64_t m_suspect_run = 0;
+  std::string m_service;
   std::string m_instance;
+  std::uint64_t m_born = 0;
+  std::uint64_t m_sequence = 0;
+  std::string m_left_instance;
+  std::uint64_t m_left_born = 0;
+  std::size_t m_slots = 0;
+  instant m_cold_until{0};
+  token_bucket m_cold_starts;
   instant m_announced_at{0};
   bool m_ready = false;
   bool m_draining = false;
--- a/src/kingcupslip/core/token_bucket.cpp
+++ b/src/kingcupslip/core/token_bucket.cpp
@@ -21,6 +21,11 @@
   return true;
 }
 
+void token_bucket::put_back(instant now) {
+  refill(now);
+  m_level = std::min(m_burst, m_level + 1.0);
+}
+
 void token_bucket::resize(double rate_per_s, double burst, instant now) {
   refill(now);
   m_rate_per_s = rate_per_s;
--- a/src/kingcupslip/core/token_bucket.hpp
+++ b/src/kingcupslip/core/token_bucket.hpp
@@ -13,6 +13,9 @@
   /// Takes one token; false where there is none.
   bool take(instant now);
 
+  /// Puts a taken token back, as far as the burst allows.
+  void put_back(instant now);
+
   /// Changes rate (tokens per second) and burst (tokens). A larger burst
   /// adds no tokens; a smaller one cuts the level at once.
   void resize(double rate_per_s, double burst, instant now);
--- a/src/kingcupslip/daemon/metrics.cpp
+++ b/src/kingcupslip/daemon/metrics.cpp
@@ -73,6 +73,30 @@
   sample(out, name, "", static_cast<double>(value));
 }
 
+void render_requests(const tally& counts, const target_stage& target,
+                     const latency_histogram& latencies, std::string& out) {
+  by_route(out, "kingcupslip_asked_total", counts, &route_tally::asked);
+  by_route(out, "kingcupslip_ran_total", counts, &route_tally::ran);
+  by_reason(out, "kingcupslip_refused_total", counts, &route_tally::refused);
+  by_reason(out, "kingcupslip_uncertain_total", counts,
+            &route_tally::uncertain);
+  by_reason(out, "kingcupslip_retries_total", counts, &route_tally::retried);
+  latencies.render("kingcupslip_answer_seconds", out);
+  gauge(out, "kingcupslip_target_limit", static_cast<double>(target.limit()));
+  gauge(out, "kingcupslip_target_in_flight",
+        static_cast<double>(target.in_flight()));
+  gauge(out, "kingcupslip_target_queued", static_cast<double>(target.queued()));
+}
+
+void render_peers(const peer_network& peers, std::string& out) {
+  const peer_counters& p = peers.counters();
+  counter(out, "kingcupslip_peer_bad_frames_total", p.bad_frames);
+  counter(out, "kingcupslip_peer_refused_total", p.refused_peers);
+  counter(out, "kingcupslip_peer_silent_total", p.silent_peers);
+  counter(out, "kingcupslip_peer_sent_bytes_total", p.bytes_sent);
+  counter(out, "kingcupslip_peer_received_bytes_total", p.bytes_received);
+}
+
 } // namespace
 
 latency_histogram::latency_histogram()
@@ -106,19 +130,7 @@
                            const latency_histogram& latencies) {
   std::string out;
   const tally& counts = n.counts();
-  by_route(out, "kingcupslip_asked_total", counts, &route_tally::asked);
-  by_route(out, "kingcupslip_ran_total", counts, &route_tally::ran);
-  by_reason(out, "kingcupslip_refused_total", counts, &route_tally::refused);
-  by_reason(out, "kingcupslip_uncertain_total", counts,
-            &route_tally::uncertain);
-  by_reason(out, "kingcupslip_retries_total", counts, &route_tally::retried);
-  latencies.render("kingcupslip_answer_seconds", out);
-  gauge(out, "kingcupslip_target_limit",
-        static_cast<double>(n.target().limit()));
-  gauge(out, "kingcupslip_target_in_flight",
-        static_cast<double>(n.target().in_flight()));
-  gauge(out, "kingcupslip_target_queued",
-        static_cast<double>(n.target().queued()));
+  render_requests(counts, n.target(), latencies, out);
   gauge(out, "kingcupslip_config_sequence",
         static_cast<double>(n.config().sequence()));
   gauge(out, "kingcupslip_config_age_seconds",
@@ -131,12 +143,26 @@
         static_cast<double>(n.memory().size()));
   counter(out, "kingcupslip_table_reads_total", table.reads());
   counter(out, "kingcupslip_table_commits_total", table.commits());
-  const peer_counters& p = peers.counters();
-  counter(out, "kingcupslip_peer_bad_frames_total", p.bad_frames);
-  counter(out, "kingcupslip_peer_refused_total", p.refused_peers);
-  counter(out, "kingcupslip_peer_silent_total", p.silent_peers);
-  counter(out, "kingcupslip_peer_sent_bytes_total", p.bytes_sent);
-  counter(out, "kingcupslip_peer_received_bytes_total", p.bytes_received);
+  render_peers(peers, out);
+  return out;
+}
+
+std::string render_metrics(const routed_node& n, const peer_network& peers,
+                           const http_client& store, const http_client& target,
+                           const latency_histogram& latencies) {
+  std::string out;
+  render_requests(n.counts(), n.target(), latencies, out);
+  gauge(out, "kingcupslip_requests_in_progress",
+        static_cast<double>(n.in_progress()));
+  gauge(out, "kingcupslip_routes_version",
+        static_cast<double>(n.state().routes_version()));
+  gauge(out, "kingcupslip_state_age_seconds",
+        static_cast<double>(n.state().age().count()) / us_per_s);
+  gauge(out, "kingcupslip_members",
+        static_cast<double>(n.members().usable().size()));
+  counter(out, "kingcupslip_store_connections_total", store.connects());
+  counter(out, "kingcupslip_target_connections_total", target.connects());
+  render_peers(peers, out);
   return out;
 }
 
--- a/src/kingcupslip/daemon/metrics.hpp
+++ b/src/kingcupslip/daemon/metrics.hpp
@@ -3,6 +3,8 @@
 #define KINGCUPSLIP_DAEMON_METRICS_HPP
 
 #include "kingcupslip/core/node.hpp"
+#include "kingcupslip/core/routed_node.hpp"
+#include "kingcupslip/net/http_client.hpp"
 #include "kingcupslip/net/peer_network.hpp"
 #include "kingcupslip/net/table_client.hpp"
 
@@ -40,6 +42,9 @@
 std::string render_metrics(const node& n, const peer_network& peers,
                            const table_client& table,
                            const latency_histogram& latencies);
+std::string render_metrics(const routed_node& n, const peer_network& peers,
+                           const http_client& store, const http_client& target,
+                           const latency_histogram& latencies);
 
 } // namespace kingcupslip
 
--- a/src/kingcupslip/daemon/node_daemon.cpp
+++ b/src/kingcupslip/daemon/node_daemon.cpp
@@ -2,13 +2,12 @@
 #include "kingcupslip/daemon/node_daemon.hpp"
 
 #include "kingcupslip/daemon/event_log.hpp"
+#include "kingcupslip/daemon/process_parts.hpp"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include <csignal>
-#include <random>
 #include <string_view>
 #include <utility>
 
@@ -16,38 +15,14 @@
 
 namespace {
 
-namespace asio = boost::asio;
-
 constexpr std::chrono::milliseconds tick_period{5};
 constexpr duration peers_period = std::chrono::milliseconds(500);
 constexpr std::string_view own_prefix = "/-/";
 
-asio::ip::tcp::endpoint endpoint_of(const listen_address& a) {
-  return {asio::ip::make_address(a.ip), a.port};
-}
-
 std::string url_of(const listen_address& a) {
   return "http://" + a.ip + ":" + std::to_string(a.port);
 }
 
-outcome plain_answer(std::uint16_t status, const std::string& type,
-                     const std::string& text) {
-  outcome out;
-  out.ran = verdict::ran;
-  out.status = status;
-  out.headers.push_back({"Content-Type", type});
-  out.body.assign(text.begin(), text.end());
-  return out;
-}
-
-member_table::random_source make_random() {
-  std::random_device seed;
-  const std::shared_ptr<std::mt19937_64> engine =
-      std::make_shared<std::mt19937_64>(
-          (static_cast<std::uint64_t>(seed()) << 32U) | seed());
-  return [engine] { return (*engine)(); };
-}
-
 } // namespace
 
 node_daemon::node_daemon(const node_settings& settings)
@@ -77,17 +52,20 @@
       settings.peers.port, std::move(peers));
   m_callers = std::make_unique<http_server>(
       m_loop, settings.callers.ip, settings.callers.port, settings.limits,
-      [this](caller_request r, const answer_sender& send) {
-        on_caller(std::move(r), send);
-      },
-      [this](std::uint64_t connection) { core().on_caller_gone(connection); });
+      server_hooks{[this](caller_request r, const answer_sender& send) {
+                     on_caller(std::move(r), send);
+                   },
+                   [this](std::uint64_t connection) {
+                     core().on_caller_gone(connection);
+                   },
+                   nullptr});
   m_announcements = std::make_unique<http_server>(
       m_loop, settings.announcements.ip, settings.announcements.port,
       settings.limits,
-      [this](const caller_request& r, const answer_sender& send) {
-        on_announcement(r, send);
-      },
-      nullptr);
+      server_hooks{[this](const caller_request& r, const answer_sender& send) {
+                     on_announcement(r, send);
+                   },
+                   nullptr, nullptr});
   m_admin =
       std::make_unique<admin_service>(*m_node, settings.operator_token, m_log);
   m_admin_listener = std::make_unique<admin_listener>(m_loop, *m_admin,
--- /dev/null
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -0,0 +1,233 @@
+// Puts a routed node together and runs its loop.
+#include "kingcupslip/daemon/routed_daemon.hpp"
+
+#include "kingcupslip/daemon/event_log.hpp"
+#include "kingcupslip/daemon/process_parts.hpp"
+
+#include <csignal>
+#include <utility>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_period{10};
+constexpr duration peers_period = std::chrono::milliseconds(100);
+/// A target that misses this many announcements counts as gone.
+constexpr int announcements_missed = 4;
+
+constexpr std::uint16_t status_ok = 200;
+constexpr std::uint16_t status_bad_request = 400;
+constexpr std::uint16_t status_unavailable = 503;
+
+} // namespace
+
+routed_daemon::routed_daemon(const routed_settings& settings,
+                             routed_protocol protocol)
+    : m_settings(settings), m_protocol(std::move(protocol)), m_timer(m_loop),
+      m_signals(m_loop, SIGTERM, SIGINT),
+      m_log(make_event_log(settings.log, settings.node)),
+      m_store(m_loop, endpoint_of(settings.store)),
+      m_target(m_loop, endpoint_of(settings.target)) {
+  const routed_options options = options_for(settings);
+  m_node = std::make_unique<routed_node>(options, hooks());
+  m_node->set_clock(read_clocks());
+  peer_hooks peers;
+  peers.on_message = [this](const std::string& from, wire::payloadUnion& body) {
+    core().on_message(from, body);
+  };
+  peers.on_unsent = [this](std::uint64_t correlation) {
+    core().on_call_unsent(correlation);
+  };
+  peers.on_lost = [this](const std::string& peer) {
+    core().on_peer_lost(peer);
+  };
+  peers.address_of = [this](const std::string& peer) {
+    return m_node->address_of(peer);
+  };
+  peers.log = m_log;
+  m_peers = std::make_unique<peer_network>(
+      m_loop, options.self, settings.fleet_secret, settings.peers.ip,
+      settings.peers.port, std::move(peers));
+  const auto listen = [this](const listen_address& at, server_hooks h) {
+    return std::make_unique<http_server>(m_loop, at.ip, at.port,
+                                         server_limits{}, std::move(h));
+  };
+  m_callers = listen(
+      settings.callers,
+      {[this](caller_request r, const answer_sender& send) {
+         on_caller(std::move(r), send);
+       },
+       [this](std::uint64_t connection) { core().on_caller_gone(connection); },
+       m_protocol.encode_answer});
+  m_readiness =
+      listen(settings.readiness,
+             {[this](const caller_request& r, const answer_sender& send) {
+                const bool good =
+                    m_protocol.asks_readiness(r) && core().ready();
+                send(plain_answer(good ? status_ok : status_unavailable,
+                                  "text/plain", ""));
+              },
+              nullptr, nullptr});
+  m_announcements =
+      listen(settings.announcements,
+             {[this](const caller_request& r, const answer_sender& send) {
+                on_announcement(r, send);
+              },
+              nullptr, nullptr});
+  m_metrics =
+      listen(settings.metrics,
+             {[this](const caller_request&, const answer_sender& send) {
+                core();
+                send(plain_answer(status_ok, "text/plain; version=0.0.4",
+                                  render_metrics(*m_node, *m_peers, m_store,
+                                                 m_target, m_latencies)));
+              },
+              nullptr, nullptr});
+}
+
+routed_daemon::~routed_daemon() = default;
+
+void routed_daemon::run() {
+  m_log(event_id::node_started, {{"data_centre", m_settings.data_centre},
+                                 {"service", m_settings.service}});
+  wait_for_signal();
+  tick();
+  m_loop.run();
+  m_log(event_id::node_stopped, {});
+}
+
+routed_options routed_daemon::options_for(const routed_settings& s) const {
+  routed_options out;
+  out.self.node = s.node;
+  out.self.data_centre = s.data_centre;
+  out.self.service = s.service;
+  out.self.address = s.peers.ip + ":" + std::to_string(s.peers.port);
+  out.self.incarnation = static_cast<std::uint64_t>(read_clocks().wall.count());
+  out.announce_timeout = s.announce_period * announcements_missed;
+  out.retry_part = s.retry_part;
+  out.retry_slack = s.retry_slack;
+  out.drain_limit = s.grace_period;
+  return out;
+}
+
+routed_hooks routed_daemon::hooks() {
+  routed_hooks out;
+  out.send = [this](const std::string& to, const wire::payloadUnion& body) {
+    m_peers->send(to, body);
+  };
+  out.target.run = [this](std::uint64_t run, target_request request) {
+    m_target.send(run, std::move(request), [this, run](target_result r) {
+      core().on_target_result(run, std::move(r));
+    });
+  };
+  out.target.cancel = [this](std::uint64_t run) { m_target.cancel(run); };
+  out.target.log = m_log;
+  out.protocol = m_protocol.target;
+  // Answers of the store come through the loop: the clock is set anew before
+  // the core hears of them.
+  const table_hooks table = m_protocol.table(m_store);
+  out.table.read = [this, table](const table_query& q, read_handler handler) {
+    table.read(q, [this, handler](table_status s, std::vector<table_row> r) {
+      core();
+      handler(s, std::move(r));
+    });
+  };
+  out.table.commit = [this, table](const table_transaction& t,
+                                   commit_handler handler) {
+    table.commit(t, [this, handler](table_status s, std::uint64_t version) {
+      core();
+      handler(s, version);
+    });
+  };
+  const watch_hooks watch = m_protocol.watch(m_store);
+  const auto timed = [this](watch_handler handler) {
+    return [this, handler](watch_status s, std::vector<operator_item> items,
+                           std::uint64_t version) {
+      core();
+      handler(s, std::move(items), version);
+    };
+  };
+  out.watch.read_all = [watch, timed](watch_handler handler) {
+    watch.read_all(timed(std::move(handler)));
+  };
+  out.watch.wait_changes = [watch, timed](std::uint64_t after,
+                                          watch_handler handler) {
+    watch.wait_changes(after, timed(std::move(handler)));
+  };
+  out.watch.decode = watch.decode;
+  out.random = make_random();
+  out.log = m_log;
+  return out;
+}
+
+routed_node& routed_daemon::core() {
+  m_node->set_clock(read_clocks());
+  return *m_node;
+}
+
+void routed_daemon::on_caller(caller_request request,
+                              const answer_sender& send) {
+  std::optional<routed_request> decoded =
+      m_protocol.decode_request(std::move(request));
+  if (!decoded) {
+    send(refusal(reason::malformed));
+    return;
+  }
+  const instant began = read_clocks().now;
+  core().on_request(std::move(*decoded), [this, began, send](outcome o) {
+    m_latencies.add(read_clocks().now - began);
+    send(std::move(o));
+  });
+}
+
+void routed_daemon::on_announcement(const caller_request& request,
+                                    const answer_sender& send) {
+  const std::optional<announcement> a = m_protocol.decode_announcement(request);
+  const std::string own =
+      m_settings.target.ip + ":" + std::to_string(m_settings.target.port);
+  if (!a || (!a->leaving && a->address != own)) {
+    m_log(event_id::announcement_ignored, {{"path", request.target}});
+    send(plain_answer(status_bad_request, "text/plain", "not readable\n"));
+    return;
+  }
+  if (a->leaving) {
+    core().on_target_leave(a->target.instance, a->target.born);
+  } else {
+    core().on_target_announce(a->target);
+  }
+  send(plain_answer(status_ok, "application/json", "{}"));
+}
+
+void routed_daemon::tick() {
+  core().tick();
+  if (m_node->clock().now - m_peers_ticked_at >= peers_period) {
+    m_peers_ticked_at = m_node->clock().now;
+    m_peers->tick();
+  }
+  if (m_node->closing()) {
+    // Every further answer tells its caller to connect elsewhere.
+    m_callers->start_closing();
+  }
+  if (m_node->drained()) {
+    m_loop.stop();
+    return;
+  }
+  m_timer.expires_after(tick_period);
+  m_timer.async_wait([this](const boost::system::error_code& ec) {
+    if (!ec) {
+      tick();
+    }
+  });
+}
+
+void routed_daemon::wait_for_signal() {
+  m_signals.async_wait([this](const boost::system::error_code& ec, int) {
+    if (!ec) {
+      core().start_draining();
+      wait_for_signal();
+    }
+  });
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -0,0 +1,81 @@
+// A routed node as a process: the core with its sockets, timers and logs.
+#ifndef KINGCUPSLIP_DAEMON_ROUTED_DAEMON_HPP
+#define KINGCUPSLIP_DAEMON_ROUTED_DAEMON_HPP
+
+#include "kingcupslip/core/routed_node.hpp"
+#include "kingcupslip/daemon/metrics.hpp"
+#include "kingcupslip/daemon/routed_settings.hpp"
+#include "kingcupslip/net/http_client.hpp"
+#include "kingcupslip/net/http_server.hpp"
+#include "kingcupslip/net/peer_network.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace kingcupslip {
+
+/// What came to the address for announcements.
+struct announcement {
+  target_announcement target;
+  std::string address;  ///< where the target listens, IP:PORT
+  bool leaving = false; ///< nothing more will come of this life
+};
+
+/// How callers, targets and the store speak; translation only.
+struct routed_protocol {
+  /// Null where the request lacks what every request has to carry.
+  std::function<std::optional<routed_request>(caller_request)> decode_request;
+  /// The answer's HTTP form.
+  answer_encoder encode_answer;
+  /// Null where it is no announcement that names a target to use.
+  std::function<std::optional<announcement>(const caller_request&)>
+      decode_announcement;
+  std::function<bool(const caller_request&)> asks_readiness;
+  target_protocol target;
+  std::function<table_hooks(http_client& store)> table;
+  std::function<watch_hooks(http_client& store)> watch;
+};
+
+class routed_daemon {
+public:
+  routed_daemon(const routed_settings& settings, routed_protocol protocol);
+  ~routed_daemon();
+
+  /// Runs until SIGTERM or SIGINT has been handled gracefully.
+  void run();
+
+private:
+  routed_options options_for(const routed_settings& s) const;
+  routed_hooks hooks();
+  void on_caller(caller_request request, const answer_sender& send);
+  void on_announcement(const caller_request& request,
+                       const answer_sender& send);
+  void tick();
+  void wait_for_signal();
+  routed_node& core();
+
+  routed_settings m_settings;
+  routed_protocol m_protocol;
+  io_loop m_loop;
+  boost::asio::steady_timer m_timer;
+  boost::asio::signal_set m_signals;
+  event_sink m_log;
+  http_client m_store;
+  http_client m_target;
+  latency_histogram m_latencies;
+  std::unique_ptr<peer_network> m_peers;
+  std::unique_ptr<routed_node> m_node;
+  std::unique_ptr<http_server> m_callers;
+  std::unique_ptr<http_server> m_readiness;
+  std::unique_ptr<http_server> m_announcements;
+  std::unique_ptr<http_server> m_metrics;
+  instant m_peers_ticked_at{0};
+};
+
+} // namespace kingcupslip
+
+#endif
--- /dev/null
+++ b/src/kingcupslip/daemon/routed_settings.cpp
@@ -0,0 +1,43 @@
+// Reading and checking of a routed node's settings.
+#include "kingcupslip/daemon/routed_settings.hpp"
+
+#include "kingcupslip/daemon/settings_reader.hpp"
+
+#include <optional>
+
+namespace kingcupslip {
+
+routed_settings_result parse_routed_settings(const std::string& yaml_text) {
+  settings_faults faults;
+  const std::optional<YAML::Node> root = load_settings_map(yaml_text, faults);
+  if (!root) {
+    return faults;
+  }
+  routed_settings out;
+  map_reader in(*root, "", faults);
+  out.node = in.name("node");
+  out.data_centre = in.name("data_centre");
+  out.service = in.text("service", true);
+  out.target = in.address("target");
+  out.callers = in.address("callers");
+  out.readiness = in.address("readiness");
+  out.announcements = in.address("announcements");
+  out.peers = in.address("peers");
+  out.metrics = in.address("metrics");
+  out.store = in.address("store");
+  out.fleet_secret = in.secret("fleet_secret");
+  out.log = in.choice("log", {"json", "text"}) == 0 ? log_format::json
+                                                    : log_format::text;
+  out.announce_period = in.seconds("announce_period_s", out.announce_period);
+  out.grace_period = in.seconds("grace_period_s", out.grace_period);
+  out.retry_part = in.fraction("retry_part", out.retry_part);
+  out.retry_slack = in.fraction("retry_slack", out.retry_slack);
+  in.refuse_unknown_keys();
+  if (!faults.empty()) {
+    sort_faults(faults);
+    return faults;
+  }
+  return out;
+}
+
+} // namespace kingcupslip
--- /dev/null
+++ b/src/kingcupslip/daemon/routed_settings.hpp
@@ -0,0 +1,46 @@
+// Settings of a node that routes by host and path: YAML, checked whole.
+#ifndef KINGCUPSLIP_DAEMON_ROUTED_SETTINGS_HPP
+#define KINGCUPSLIP_DAEMON_ROUTED_SETTINGS_HPP
+
+#include "kingcupslip/daemon/settings.hpp"
+
+#include <boost/outcome.hpp>
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace kingcupslip {
+
+struct routed_settings {
+  std::string node;
+  std::string data_centre;
+  std::string service;
+  listen_address target;
+  listen_address callers;
+  listen_address readiness;
+  listen_address announcements;
+  listen_address peers;
+  listen_address metrics;
+  listen_address store;
+  std::string fleet_secret;
+  log_format log = log_format::json;
+  /// Between two announcements of a target.
+  std::chrono::milliseconds announce_period{1500};
+  /// From SIGTERM until the process is killed.
+  std::chrono::milliseconds grace_period{6000};
+  /// Retries over the whole fleet, per service.
+  double retry_part = 0.2;
+  double retry_slack = 48;
+};
+
+using routed_settings_result =
+    boost::outcome_v2::result<routed_settings, settings_faults,
+                              boost::outcome_v2::policy::terminate>;
+
+/// Reads settings from YAML text. Every fault is reported, unknown keys
+/// included.
+routed_settings_result parse_routed_settings(const std::string& yaml_text);
+
+} // namespace kingcupslip
+
+#endif
--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -3,9 +3,11 @@
 
 #include "kingcupslip/net/socket_options.hpp"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdlib>
 #include <optional>
 #include <utility>
 
@@ -23,8 +25,21 @@
 /// Peers close idle connections; one kept shorter is surely still open but
 /// for a crash, which closes it visibly.
 constexpr duration idle_life = std::chrono::seconds(4);
+constexpr duration idle_margin = std::chrono::seconds(2);
 constexpr std::uint32_t most_head_bytes = 64 * 1024;
 
+/// A peer's stated idle timeout, less the time in which both may act at once.
+duration life_of(boost::beast::string_view keep_alive) {
+  const std::string text(keep_alive);
+  const std::size_t at = text.find("timeout=");
+  if (at == std::string::npos) {
+    return idle_life;
+  }
+  const duration stated =
+      std::chrono::seconds(std::atoi(text.c_str() + at + 8));
+  return std::max(stated - idle_margin, idle_margin);
+}
+
 bool still_open(tcp::socket& socket) {
   error_code ec;
   char one = 0;
@@ -45,10 +60,13 @@
     m_message.method_string(request.method);
     m_message.target(request.path);
     m_message.version(11);
-    m_message.set(http::field::host, client.m_endpoint.address().to_string());
     for (const header& it : request.headers) {
       m_message.insert(it.name, it.value);
     }
+    if (m_message.count(http::field::host) == 0) {
+      m_message.set(http::field::host, client.m_endpoint.address().to_string());
+    }
+    m_echoed = std::move(request.echoed);
     m_message.body() = std::move(request.body);
     m_message.prepare_payload();
   }
@@ -67,6 +85,7 @@
       return;
     }
     m_socket = std::make_shared<tcp::socket>(m_client.m_loop);
+    ++m_client.m_connects;
     m_socket->async_connect(m_client.m_endpoint, [self](const error_code& ec) {
       if (ec) {
         self->end({target_end::not_connected, 0, {}, {}});
@@ -95,10 +114,12 @@
     const std::shared_ptr<http_exchange> self = shared_from_this();
     http::async_write(*m_socket, m_message,
                       [self](const error_code& ec, std::size_t) {
-                        if (ec) {
+                        if (ec == asio::error::operation_aborted) {
                           self->end({target_end::lost, 0, {}, {}});
                           return;
                         }
+                        // A peer that refuses a long body may have answered
+                        // before it closed.
                         self->read();
                       });
   }
@@ -120,6 +141,13 @@
       return;
     }
     http::response<byte_body> answer = m_parser->release();
+    const bool of_another = !m_echoed.name.empty() &&
+                            answer.count(m_echoed.name) != 0 &&
+                            answer[m_echoed.name] != m_echoed.value;
+    if (of_another) {
+      read();
+      return;
+    }
     target_result out;
     out.end = target_end::answered;
     out.status = static_cast<std::uint16_t>(answer.result_int());
@@ -130,7 +158,8 @@
     const bool keep = answer.keep_alive() && m_buffer.size() == 0;
     out.body = std::move(answer.body());
     if (keep) {
-      m_client.keep(std::move(m_socket));
+      m_client.keep(std::move(m_socket),
+                    life_of(answer[http::field::keep_alive]));
     }
     end(std::move(out));
   }
@@ -158,6 +187,7 @@
   http::request<byte_body> m_message;
   boost::beast::flat_buffer m_buffer;
   std::optional<http::response_parser<byte_body>> m_parser;
+  header m_echoed;
   bool m_written = false;
 };
 
@@ -200,15 +230,15 @@
   while (!m_idle.empty()) {
     const idle_connection c = m_idle.front();
     m_idle.pop_front();
-    if (now - c.since < idle_life && still_open(*c.socket)) {
+    if (now < c.until && still_open(*c.socket)) {
       return c.socket;
     }
   }
   return nullptr;
 }
 
-void http_client::keep(std::shared_ptr<tcp::socket> socket) {
-  m_idle.push_front({std::move(socket), read_clocks().now});
+void http_client::keep(std::shared_ptr<tcp::socket> socket, duration life) {
+  m_idle.push_front({std::move(socket), read_clocks().now + life});
   if (m_idle.size() > most_idle) {
     m_idle.pop_back();
   }
--- a/src/kingcupslip/net/http_client.hpp
+++ b/src/kingcupslip/net/http_client.hpp
@@ -37,19 +37,23 @@
   /// Closes the exchange's connection; it ends as `lost`.
   void cancel(std::uint64_t id);
 
+  std::uint64_t connects() const { return m_connects; }
+
 private:
   friend class http_exchange;
   struct idle_connection {
     std::shared_ptr<boost::asio::ip::tcp::socket> socket;
-    instant since{0};
+    instant until{0};
   };
 
   std::shared_ptr<boost::asio::ip::tcp::socket> take_idle();
-  void keep(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+  void keep(std::shared_ptr<boost::asio::ip::tcp::socket> socket,
+            duration life);
 
   io_loop& m_loop;
   boost::asio::ip::tcp::endpoint m_endpoint;
   std::size_t m_most_answer_bytes;
+  std::uint64_t m_connects = 0;
   std::list<idle_connection> m_idle;
   std::map<std::uint64_t, std::weak_ptr<http_exchange>> m_exchanges;
 };
--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -45,12 +45,11 @@
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
   http_session(tcp::socket socket, const server_limits& limits,
-               request_hook on_request, gone_hook on_gone,
+               std::shared_ptr<const server_hooks> hooks,
                std::shared_ptr<std::size_t> open, std::shared_ptr<bool> closing,
                std::uint64_t id)
       : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
-        m_limits(limits), m_on_request(std::move(on_request)),
-        m_on_gone(std::move(on_gone)), m_open(std::move(open)),
+        m_limits(limits), m_hooks(std::move(hooks)), m_open(std::move(open)),
         m_closing(std::move(closing)), m_id(id) {
     ++*m_open;
     set_socket_options(m_socket);
@@ -125,7 +124,7 @@
     m_answering = true;
     watch_for_close();
     const std::shared_ptr<http_session> self = shared_from_this();
-    m_on_request(std::move(r), [self](outcome o) {
+    m_hooks->on_request(std::move(r), [self](outcome o) {
       self->m_answering = false;
       self->answer(std::move(o));
     });
@@ -147,8 +146,8 @@
       self->m_socket.receive(asio::buffer(&one, 1), tcp::socket::message_peek,
                              peeked);
       const bool gone = peeked && peeked != asio::error::would_block;
-      if (gone && self->m_on_gone) {
-        self->m_on_gone(self->m_id);
+      if (gone && self->m_hooks->on_gone) {
+        self->m_hooks->on_gone(self->m_id);
       }
     });
   }
@@ -159,7 +158,7 @@
   }
 
   void answer(outcome o) {
-    outcome out = to_http(std::move(o));
+    outcome out = m_hooks->encode(std::move(o));
     m_response = {};
     m_response.version(11);
     m_response.result(out.status);
@@ -206,8 +205,7 @@
   tcp::socket m_socket;
   asio::steady_timer m_timer;
   const server_limits m_limits;
-  request_hook m_on_request;
-  gone_hook m_on_gone;
+  std::shared_ptr<const server_hooks> m_hooks;
   std::shared_ptr<std::size_t> m_open;
   std::shared_ptr<bool> m_closing;
   std::uint64_t m_id;
@@ -222,12 +220,15 @@
 
 http_server::http_server(io_loop& loop, const std::string& address,
                          std::uint16_t port, server_limits limits,
-                         request_hook on_request, gone_hook on_gone)
+                         server_hooks hooks)
     : m_loop(loop),
       m_acceptor(loop, tcp::endpoint(asio::ip::make_address(address), port)),
-      m_limits(limits), m_on_request(std::move(on_request)),
-      m_on_gone(std::move(on_gone)), m_open(std::make_shared<std::size_t>(0)),
+      m_limits(limits), m_open(std::make_shared<std::size_t>(0)),
       m_closing(std::make_shared<bool>(false)) {
+  if (!hooks.encode) {
+    hooks.encode = to_http;
+  }
+  m_hooks = std::make_shared<const server_hooks>(std::move(hooks));
   accept();
 }
 
@@ -245,8 +246,8 @@
       return;
     }
     if (!ec) {
-      std::make_shared<http_session>(std::move(socket), m_limits, m_on_request,
-                                     m_on_gone, m_open, m_closing, ++m_next)
+      std::make_shared<http_session>(std::move(socket), m_limits, m_hooks,
+                                     m_open, m_closing, ++m_next)
           ->start();
     }
     accept();
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -30,20 +30,34 @@
 /// The connection closed while its request was being answered.
 using gone_hook = std::function<void(std::uint64_t connection)>;
 
+/// What a caller gets for an outcome.
+using answer_encoder = std::function<outcome(outcome)>;
+
 class http_session;
 
+/// What a server does with requests. Without an encoder of their own,
+/// refusals become problem documents.
+struct server_hooks {
+  request_hook on_request;
+  gone_hook on_gone;
+  answer_encoder encode;
+};
+
 /// Runs on the loop. Faulty requests are answered with a problem document;
 /// the connection then closes.
 class http_server {
 public:
   /// Throws `boost::system::system_error` where the address cannot be used.
   http_server(io_loop& loop, const std::string& address, std::uint16_t port,
-              server_limits limits, request_hook on_request, gone_hook on_gone);
+              server_limits limits, server_hooks hooks);
   ~http_server();
 
   std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
   std::size_t connections() const { return *m_open; }
 
+  /// Open connections close after their next answer; new ones still come.
+  void start_closing() { *m_closing = true; }
+
   /// Stops listening; open connections close after their next answer.
   void stop_accepting();
 
@@ -54,8 +68,7 @@
   io_loop& m_loop;
   boost::asio::ip::tcp::acceptor m_acceptor;
   server_limits m_limits;
-  request_hook m_on_request;
-  gone_hook m_on_gone;
+  std::shared_ptr<const server_hooks> m_hooks;
   std::shared_ptr<std::size_t> m_open;
   std::shared_ptr<bool> m_closing;
   std::uint64_t m_next = 0;
--- a/tests/standins/table_service.cpp
+++ b/tests/standins/table_service.cpp
@@ -67,10 +67,9 @@
       : m_loop(loop), m_reads(reads), m_writes(writes),
         m_server(
             loop, "127.0.0.1", port, server_limits{},
-            [this](const caller_request& r, const answer_sender& send) {
-              handle(r, send);
-            },
-            nullptr) {}
+            server_hooks{[this](const caller_request& r,
+                                const answer_sender& send) { handle(r, send); },
+                         nullptr, nullptr}) {}
 
 private:
   void handle(const caller_request& r, const answer_sender& send) {
--- a/tests/standins/target_service.cpp
+++ b/tests/standins/target_service.cpp
@@ -67,12 +67,11 @@
         m_started(read_clocks().now), m_log(m_settings.log_file, std::ios::app),
         m_announcements(loop, local(m_settings.announce_port)),
         m_nested(loop, local(m_settings.node_port)),
-        m_server(
-            loop, "127.0.0.1", m_settings.port, server_limits{},
-            [this](const caller_request& r, const answer_sender& send) {
-              on_request(r, send);
-            },
-            [this](std::uint64_t c) { m_gone[c] = true; }) {
+        m_server(loop, "127.0.0.1", m_settings.port, server_limits{},
+                 server_hooks{
+                     [this](const caller_request& r,
+                            const answer_sender& send) { on_request(r, send); },
+                     [this](std::uint64_t c) { m_gone[c] = true; }, nullptr}) {
     announce();
   }
 
