Peers lend every token they do not need; up to four are asked at once

Cause: small teams' parts are below a token a second at each node, and peers kept half, so that they never lent.

--- a/src/kingcupslip/core/rate_gate.cpp
+++ b/src/kingcupslip/core/rate_gate.cpp
@@ -38,11 +38,24 @@
     return;
   }
   l.push_back({m_clock.now + patience, std::move(next)});
+  if (m_tokens.on_line) {
+    m_tokens.on_line(team, l.size(), m_clock.now);
+  }
 }
 
 void rate_gate::tick() {
   for (std::pair<const std::string, line>& it : m_lines) {
     advance(it.first, it.second);
+    if (m_tokens.on_line) {
+      m_tokens.on_line(it.first, it.second.size(), m_clock.now);
+    }
+  }
+}
+
+void rate_gate::on_tokens(const std::string& team) {
+  const auto it = m_lines.find(team);
+  if (it != m_lines.end()) {
+    advance(team, it->second);
   }
 }
 
--- a/src/kingcupslip/core/rate_gate.hpp
+++ b/src/kingcupslip/core/rate_gate.hpp
@@ -22,6 +22,9 @@
   std::function<duration(const std::string& team, std::size_t ahead,
                          instant now)>
       expected_wait;
+  /// So many requests are in line for a token; may be null.
+  std::function<void(const std::string& team, std::size_t n, instant now)>
+      on_line;
 };
 
 /// A team's rate is split over nodes in small shares, so a node's own share
@@ -39,6 +42,8 @@
 
   void enter(const std::string& team, instant deadline, next_step next);
   void tick();
+  /// Tokens of the team have come.
+  void on_tokens(const std::string& team);
 
 private:
   struct waiting_request {
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -28,7 +28,10 @@
 
 routed_entry::routed_entry(parts p, const clock_reading& clock)
     : m_parts(std::move(p)), m_clock(clock),
-      m_gate(m_parts.quota.source(), clock) {}
+      m_gate(m_parts.quota.source(), clock) {
+  m_parts.quota.set_on_grant(
+      [this](const std::string& team) { m_gate.on_tokens(team); });
+}
 
 void routed_entry::on_request(routed_request request, outcome_handler handler) {
   const route_table* table = m_parts.state.routes();
--- a/src/kingcupslip/core/team_quota.cpp
+++ b/src/kingcupslip/core/team_quota.cpp
@@ -12,7 +12,7 @@
 constexpr duration loan_life = std::chrono::milliseconds(300);
 constexpr duration first_ask_spacing = std::chrono::milliseconds(10);
 constexpr duration longest_ask_spacing = std::chrono::milliseconds(500);
-constexpr std::size_t peers_asked = 2;
+constexpr std::size_t most_peers_asked = 4;
 constexpr std::uint32_t most_asked = 32;
 /// A wait that is worth it while a loan may come.
 constexpr duration loan_wait = std::chrono::milliseconds(60);
@@ -51,24 +51,22 @@
   parts = std::max<std::size_t>(1, parts);
   const bool changed = parts != m_parts;
   m_parts = parts;
+  if (!changed) {
+    return;
+  }
   for (std::pair<const std::string, team_state>& it : m_teams) {
-    if (changed) {
-      resize(it.second, now);
-    }
-    ask_peers(it.first, it.second, now);
+    resize(it.second, now);
   }
 }
 
-void team_quota::count(const std::string& team, instant now) {
+void team_quota::on_line(const std::string& team, std::size_t n, instant now) {
   const auto it = m_teams.find(team);
-  if (it == m_teams.end() || it->second.rate_per_s <= 0) {
+  if (it == m_teams.end()) {
     return;
   }
-  team_state& s = it->second;
-  if (s.bucket.level(now) < 1 && s.lent == 0) {
-    s.short_of = std::min(s.short_of + 1, most_asked);
-    ask_peers(team, s, now);
-  }
+  it->second.waiting =
+      static_cast<std::uint32_t>(std::min<std::size_t>(n, most_asked));
+  ask_peers(team, it->second, now);
 }
 
 bool team_quota::take(const std::string& team, instant now) {
@@ -119,10 +117,9 @@
   std::uint32_t given = 0;
   if (it != m_teams.end()) {
     team_state& s = it->second;
-    // Half stays for this node's own callers.
-    const double spare = s.short_of > 0 ? 0 : s.bucket.level(now) / 2;
-    while (given < std::min(m.tokens, most_asked) && given + 1 <= spare &&
-           s.bucket.take(now)) {
+    // What this node's callers need next comes back the same way.
+    const std::uint32_t most = s.waiting > 0 ? 0 : std::min(m.tokens, most_asked);
+    while (given < most && s.bucket.take(now)) {
       ++given;
     }
   }
@@ -148,14 +145,14 @@
   s.ask_spacing = first_ask_spacing;
   s.lent = (now < s.lent_until ? s.lent : 0) + m.tokens;
   s.lent_until = now + loan_life;
-  s.short_of -= std::min(s.short_of, m.tokens);
+  if (m_on_grant) {
+    m_on_grant(m.team);
+  }
 }
 
 token_source team_quota::source() {
   token_source out;
-  out.count = [this](const std::string& team, instant now) {
-    count(team, now);
-  };
+  out.count = [](const std::string&, instant) {};
   out.take = [this](const std::string& team, instant now) {
     return take(team, now);
   };
@@ -163,6 +160,9 @@
                              instant now) {
     return expected_wait(team, ahead, now);
   };
+  out.on_line = [this](const std::string& team, std::size_t n, instant now) {
+    on_line(team, n, now);
+  };
   return out;
 }
 
@@ -174,13 +174,15 @@
 
 void team_quota::ask_peers(const std::string& team, team_state& s,
                            instant now) {
-  if (s.short_of == 0 || now < s.ask_at) {
+  if (s.waiting == 0 || now < s.ask_at) {
     return;
   }
   s.ask_spacing = std::max(s.ask_spacing, first_ask_spacing);
   s.ask_at = now + s.ask_spacing;
-  const std::uint32_t each =
-      (s.short_of + peers_asked - 1) / static_cast<std::uint32_t>(peers_asked);
+  const std::uint32_t each = (s.waiting + most_peers_asked - 1) /
+                             static_cast<std::uint32_t>(most_peers_asked);
+  const std::size_t peers_asked =
+      std::min<std::size_t>(most_peers_asked, s.waiting + 1U);
   for (const std::string& to : m_members.random_peers("", peers_asked)) {
     wire::quota_askT ask;
     ask.team = team;
@@ -189,8 +191,6 @@
     body.Set(std::move(ask));
     m_send(to, std::move(body));
   }
-  // Those that waited are served or refused by the next round.
-  s.short_of = 0;
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/team_quota.hpp
+++ b/src/kingcupslip/core/team_quota.hpp
@@ -35,10 +35,15 @@
   void apply(const route_table& table, instant now);
   void tick(instant now);
 
-  void count(const std::string& team, instant now);
   bool take(const std::string& team, instant now);
   duration expected_wait(const std::string& team, std::size_t ahead,
                          instant now);
+  /// Called when tokens of a team were lent to this node.
+  void set_on_grant(std::function<void(const std::string& team)> hook) {
+    m_on_grant = std::move(hook);
+  }
+  /// So many requests wait for a token here.
+  void on_line(const std::string& team, std::size_t n, instant now);
   /// A request that took a token has not run after all.
   void give_back(const std::string& team, instant now);
 
@@ -54,7 +59,7 @@
     token_bucket bucket;
     std::uint32_t lent = 0; ///< tokens from peers, to be spent at once
     instant lent_until{0};
-    std::uint32_t short_of = 0; ///< requests that found no token
+    std::uint32_t waiting = 0; ///< requests in line for a token here
     instant ask_at{0};
     duration ask_spacing{0}; ///< grows while peers have nothing to lend
   };
@@ -66,6 +71,7 @@
   message_sender m_send;
   member_table::random_source m_random;
   std::map<std::string, team_state> m_teams;
+  std::function<void(const std::string& team)> m_on_grant;
   std::size_t m_parts = 1;
 };
 
