--- a/src/kingcupslip/core/team_quota.cpp
+++ b/src/kingcupslip/core/team_quota.cpp
@@ -138,10 +138,15 @@
   }
   team_state& s = it->second;
   if (m.tokens == 0) {
+    s.refusals_left -= std::min<std::uint32_t>(1, s.refusals_left);
+    if (s.refusals_left > 0) {
+      return;
+    }
     s.ask_spacing = std::min(longest_ask_spacing,
                              std::max(s.ask_spacing, first_ask_spacing) * 2);
     return;
   }
+  s.refusals_left = most_asked;
   s.ask_spacing = first_ask_spacing;
   s.lent = (now < s.lent_until ? s.lent : 0) + m.tokens;
   s.lent_until = now + loan_life;
@@ -183,6 +188,7 @@
                              static_cast<std::uint32_t>(most_peers_asked);
   const std::size_t peers_asked =
       std::min<std::size_t>(most_peers_asked, s.waiting + 1U);
+  s.refusals_left = static_cast<std::uint32_t>(peers_asked);
   for (const std::string& to : m_members.random_peers("", peers_asked)) {
     wire::quota_askT ask;
     ask.team = team;
--- a/src/kingcupslip/core/team_quota.hpp
+++ b/src/kingcupslip/core/team_quota.hpp
@@ -61,7 +61,8 @@
     instant lent_until{0};
     std::uint32_t waiting = 0; ///< requests in line for a token here
     instant ask_at{0};
-    duration ask_spacing{0}; ///< grows while peers have nothing to lend
+    duration ask_spacing{0}; ///< grows while no peer has anything to lend
+    std::uint32_t refusals_left = 0; ///< until a round was all in vain
   };
 
   void resize(team_state& s, instant now) const;
