Tests of routed nodes on virtual time; far members are probed as often as near

Cause: with one probe in eight going to other data centres, both sides of a partition of 3+3 nodes still counted each other alive after 20 s.

--- a/src/kingcupslip/core/member_table.cpp
+++ b/src/kingcupslip/core/member_table.cpp
@@ -17,7 +17,7 @@
 constexpr duration dead_kept = std::chrono::minutes(5);
 constexpr std::uint32_t probes_before_suspicion = 2;
 /// One probe in this many goes to another data centre.
-constexpr std::uint64_t far_probe_every = 8;
+constexpr std::uint64_t far_probe_every = 2;
 constexpr duration failure_memory = std::chrono::seconds(1);
 
 using rank = std::tuple<std::uint64_t, std::uint64_t, std::uint8_t>;
@@ -158,7 +158,7 @@
   }();
   // A member missed once is probed again before others, so that suspicion
   // comes within seconds however many members there are.
-  for (const std::string& it : candidates) {
+  for (const std::string& it : usable()) {
     const member& m = m_members.at(it);
     if (m.probes_missed > 0 && m.probe_sent_at == instant(0) && it != m_self) {
       return it;
--- a/src/kingcupslip/core/team_quota.cpp
+++ b/src/kingcupslip/core/team_quota.cpp
@@ -118,7 +118,8 @@
   if (it != m_teams.end()) {
     team_state& s = it->second;
     // What this node's callers need next comes back the same way.
-    const std::uint32_t most = s.waiting > 0 ? 0 : std::min(m.tokens, most_asked);
+    const std::uint32_t most =
+        s.waiting > 0 ? 0 : std::min(m.tokens, most_asked);
     while (given < most && s.bucket.take(now)) {
       ++given;
     }
--- /dev/null
+++ b/tests/core/routed_node_test.cpp
@@ -0,0 +1,372 @@
+// Routed nodes: routing, desired state, quotas, membership and shutdown.
+#include "support/routed_fleet.hpp"
+
+#include "support/rate_check.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kingcupslip;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Sends `per_s` requests a second through `through` for `span`.
+struct load {
+  load(routed_fleet& f, std::vector<std::string> through, std::string path,
+       double per_s, duration span)
+      : m_fleet(f), m_through(std::move(through)), m_path(std::move(path)),
+        m_gap(static_cast<duration::rep>(1e6 / per_s)),
+        m_end(f.time.now() + span) {
+    step();
+  }
+
+  void step() {
+    if (m_fleet.time.now() >= m_end) {
+      return;
+    }
+    ++asked;
+    const std::string& node = m_through[asked % m_through.size()];
+    m_fleet.request(node, m_path, "k", [this](const outcome& o) {
+      ran += o.why == reason::none ? 1 : 0;
+      refused += o.why != reason::none && o.ran == verdict::not_run ? 1 : 0;
+      uncertain += o.ran == verdict::may_have_run ? 1 : 0;
+    });
+    m_fleet.time.after(m_gap, [this] { step(); });
+  }
+
+  std::size_t asked = 0;
+  std::size_t ran = 0;
+  std::size_t refused = 0;
+  std::size_t uncertain = 0;
+
+private:
+  routed_fleet& m_fleet;
+  std::vector<std::string> m_through;
+  std::string m_path;
+  duration m_gap;
+  instant m_end;
+};
+
+std::uint64_t runs_of(routed_fleet& f, const std::vector<std::string>& names) {
+  std::uint64_t n = 0;
+  for (const std::string& it : names) {
+    n += f.target(it).total_runs;
+  }
+  return n;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(routed_node){
+};
+// clang-format on
+
+TEST(routed_node, routes_by_host_and_longest_prefix_and_checks_keys) {
+  routed_fleet f(1);
+  build_routed_fleet(f, 2);
+  LONGS_EQUAL(200, f.ask("a1", "/safe/x?q=1", "k").status);
+  CHECK(reason::unknown_service == f.ask("a1", "/nowhere/x", "k").why);
+  CHECK(reason::unknown_key == f.ask("a1", "/safe/x", "other").why);
+  CHECK(reason::no_key == f.ask("a1", "/safe/x", "").why);
+  LONGS_EQUAL(200, f.ask("a1", "/inner/x", "").status);
+}
+
+TEST(routed_node, a_node_without_desired_state_says_so_and_is_not_ready) {
+  routed_fleet f(2);
+  f.add("a1", "dc-a", "svc");
+  f.run_for(seconds(1));
+  CHECK_FALSE(f.at("a1").ready());
+  const outcome o = f.ask("a1", "/safe/x", "k");
+  CHECK(reason::starting == o.why);
+  CHECK(verdict::not_run == o.ran);
+  CHECK(o.retry_after.count() > 0);
+}
+
+TEST(routed_node, a_change_is_in_force_at_a_node_cut_off_from_the_store) {
+  routed_fleet f(3);
+  build_routed_fleet(f, 4);
+  f.cut_off.insert("b4");
+  f.run_for(seconds(1));
+  route_table::content next = simple_routes();
+  next.routes.pop_back();
+  f.write_routes(next);
+  f.run_for(milliseconds(2000));
+  CHECK(reason::unknown_service == f.ask("a1", "/inner/x", "").why);
+  CHECK(reason::unknown_service == f.ask("b4", "/inner/x", "").why);
+}
+
+TEST(routed_node, a_restarted_node_learns_the_state_from_peers) {
+  routed_fleet f(4);
+  build_routed_fleet(f, 3);
+  f.store_down = true;
+  f.kill("a2");
+  f.run_for(seconds(1));
+  f.revive("a2");
+  f.run_for(seconds(4));
+  CHECK(f.at("a2").ready());
+  LONGS_EQUAL(200, f.ask("a2", "/safe/x", "k").status);
+}
+
+TEST(routed_node, a_watch_survives_lost_history_and_never_goes_back) {
+  routed_fleet f(5);
+  build_routed_fleet(f, 2);
+  const std::uint64_t before = f.at("a1").state().routes_version();
+  f.write_routes(simple_routes(7));
+  f.compact();
+  f.run_for(milliseconds(500));
+  const std::uint64_t after = f.at("a1").state().routes_version();
+  CHECK(after > before);
+  f.store_down = true;
+  f.run_for(seconds(2));
+  f.store_down = false;
+  f.run_for(seconds(2));
+  LONGS_EQUAL(after, f.at("a1").state().routes_version());
+}
+
+TEST(routed_node, a_withdrawn_key_stops_working_everywhere) {
+  routed_fleet f(6);
+  build_routed_fleet(f, 2);
+  route_table::content next = simple_routes();
+  next.teams.front().keys = {"another"};
+  f.write_routes(next);
+  f.run_for(milliseconds(500));
+  for (const char* it : {"a1", "a2", "b1", "b2"}) {
+    CHECK(reason::unknown_key == f.ask(it, "/safe/x", "k").why);
+  }
+}
+
+TEST(routed_node, a_data_centre_marked_out_gets_nothing_and_returns_cold) {
+  routed_fleet f(7);
+  build_routed_fleet(f, 2);
+  f.mark_out("dc-a", true);
+  f.run_for(milliseconds(500));
+  const std::uint64_t before = runs_of(f, {"a1", "a2"});
+  {
+    load l(f, {"a1", "a2", "b1"}, "/safe/x", 100, seconds(2));
+    f.run_for(seconds(3));
+    LONGS_EQUAL(l.asked, l.ran);
+  }
+  LONGS_EQUAL(before, runs_of(f, {"a1", "a2"}));
+  f.announcing = false;
+  f.mark_out("dc-a", false);
+  f.run_for(milliseconds(100));
+  load l(f, {"a1", "a2"}, "/safe/x", 400, seconds(1));
+  f.run_for(milliseconds(900));
+  // 10 a second is what a cold target bears; some more start in a burst.
+  CHECK(runs_of(f, {"a1", "a2"}) - before <= 2 * (10 + 3));
+  f.run_for(seconds(2));
+}
+
+TEST(routed_node, a_cold_target_gets_no_more_than_it_bears) {
+  routed_fleet f(8);
+  f.cold_left = seconds(3);
+  build_routed_fleet(f, 1);
+  const std::uint64_t before = runs_of(f, {"a1", "b1"});
+  load l(f, {"a1", "b1"}, "/safe/x", 300, seconds(2));
+  f.run_for(seconds(2));
+  CHECK(runs_of(f, {"a1", "b1"}) - before <= 2 * (2 * 10 + 3));
+  f.run_for(seconds(2));
+}
+
+TEST(routed_node, requests_of_a_node_without_target_go_to_others) {
+  routed_fleet f(9);
+  build_routed_fleet(f, 2);
+  f.target("a1").crash();
+  load l(f, {"a1"}, "/once/x", 50, seconds(2));
+  f.run_for(seconds(4));
+  CHECK(l.ran * 100 >= l.asked * 97);
+}
+
+TEST(routed_node, a_request_that_may_have_run_is_repeated_only_if_idempotent) {
+  for (const bool idempotent : {true, false}) {
+    routed_fleet f(10);
+    build_routed_fleet(f, 1);
+    f.target("a1").settings().service = milliseconds(300);
+    f.target("b1").settings().service = milliseconds(300);
+    std::optional<outcome> got;
+    f.request("a1", idempotent ? "/safe/x" : "/once/x", "k",
+              [&got](outcome o) { got = std::move(o); }, seconds(2));
+    f.run_for(milliseconds(50));
+    f.target("a1").crash();
+    f.run_for(seconds(3));
+    CHECK(got.has_value());
+    LONGS_EQUAL(idempotent ? 2 : 1, runs_of(f, {"a1", "b1"}));
+    CHECK((idempotent ? verdict::ran : verdict::may_have_run) == got->ran);
+  }
+}
+
+TEST(routed_node, no_request_reaches_more_targets_than_its_route_allows) {
+  routed_fleet f(11);
+  build_routed_fleet(f, 3);
+  for (const char* it : {"a1", "a2", "a3", "b1", "b2", "b3"}) {
+    f.target(it).serve = [](const target_request&,
+                            const std::function<void(std::uint16_t)>& done) {
+      done(500);
+    };
+  }
+  const outcome o = f.ask("a1", "/safe/x", "k");
+  LONGS_EQUAL(500, o.status);
+  CHECK(verdict::ran == o.ran);
+  LONGS_EQUAL(2, runs_of(f, {"a1", "a2", "a3", "b1", "b2", "b3"}));
+}
+
+TEST(routed_node, retries_stay_within_a_part_of_the_requests) {
+  routed_fleet f(12);
+  build_routed_fleet(f, 3);
+  for (const char* it : {"a1", "a2", "a3", "b1", "b2", "b3"}) {
+    f.target(it).serve = [](const target_request&,
+                            const std::function<void(std::uint16_t)>& done) {
+      done(500);
+    };
+  }
+  load l(f, {"a1", "a2", "a3", "b1", "b2", "b3"}, "/safe/x", 100, seconds(10));
+  f.run_for(seconds(12));
+  const double runs =
+      static_cast<double>(runs_of(f, {"a1", "a2", "a3", "b1", "b2", "b3"}));
+  CHECK(runs - static_cast<double>(l.asked) <=
+        static_cast<double>(l.asked) * 0.2 + 48);
+}
+
+TEST(routed_node, a_late_word_of_an_earlier_life_changes_nothing) {
+  routed_fleet f(13);
+  build_routed_fleet(f, 1);
+  f.announcing = false;
+  target_announcement a;
+  a.instance = "i";
+  a.service = "svc";
+  a.slots = 10;
+  a.born = 2000;
+  a.sequence = 5;
+  f.at("a1").on_target_announce(a);
+  a.draining = true;
+  a.sequence = 4;
+  f.at("a1").on_target_announce(a);
+  CHECK(f.at("a1").target().ready());
+  a.born = 1000;
+  a.sequence = 9;
+  f.at("a1").on_target_announce(a);
+  CHECK(f.at("a1").target().ready());
+  f.at("a1").on_target_leave("i", 1000);
+  CHECK(f.at("a1").target().ready());
+  f.at("a1").on_target_leave("i", 2000);
+  CHECK_FALSE(f.at("a1").target().ready());
+  a.born = 2000;
+  a.draining = false;
+  a.sequence = 12;
+  f.at("a1").on_target_announce(a);
+  CHECK_FALSE(f.at("a1").target().ready());
+  a.born = 3000;
+  a.sequence = 1;
+  f.at("a1").on_target_announce(a);
+  CHECK(f.at("a1").target().ready());
+}
+
+TEST(routed_node, both_sides_of_a_partition_find_each_other_again) {
+  routed_fleet f(14);
+  build_routed_fleet(f, 3);
+  for (const char* a : {"a1", "a2", "a3"}) {
+    for (const char* b : {"b1", "b2", "b3"}) {
+      f.cut(a, b);
+    }
+  }
+  f.run_for(seconds(20));
+  LONGS_EQUAL(3, f.at("a1").members().usable().size());
+  f.heal();
+  f.run_for(seconds(4));
+  for (const char* it : {"a1", "a2", "a3", "b1", "b2", "b3"}) {
+    LONGS_EQUAL(6, f.at(it).members().usable().size());
+  }
+}
+
+TEST(routed_node, callers_who_leave_stop_the_work_at_the_target) {
+  routed_fleet f(15);
+  build_routed_fleet(f, 1);
+  f.target("b1").settings().service = seconds(1);
+  f.target("a1").crash();
+  f.run_for(seconds(7));
+  f.request("a1", "/safe/x", "k", [](const outcome&) {}, seconds(3), "", 77);
+  f.run_for(milliseconds(100));
+  f.at("a1").on_caller_gone(77);
+  f.run_for(milliseconds(100));
+  LONGS_EQUAL(1, f.target("b1").cancelled);
+}
+
+TEST(routed_node, a_graceful_stop_finishes_what_runs_and_leaves) {
+  routed_fleet f(16);
+  build_routed_fleet(f, 2);
+  f.target("a1").settings().service = milliseconds(1500);
+  std::optional<outcome> got;
+  f.request("a2", "/once/x", "k", [&got](outcome o) { got = std::move(o); },
+            seconds(4));
+  f.run_for(milliseconds(50));
+  f.at("a1").start_draining();
+  f.at("a2").start_draining();
+  CHECK_FALSE(f.at("a2").ready());
+  f.run_for(milliseconds(5900));
+  CHECK(got.has_value());
+  CHECK(verdict::ran == got->ran);
+  CHECK(f.at("a2").drained());
+}
+
+// clang-format off
+TEST_GROUP(team_quota){
+};
+// clang-format on
+
+TEST(team_quota, a_team_is_served_through_any_one_node) {
+  // All demand at one node of eight: the others lend what they mint.
+  routed_fleet f(20);
+  build_routed_fleet(f, 4, simple_routes(80, 80));
+  f.run_for(seconds(2));
+  load l(f, {"a1"}, "/safe/x", 50, seconds(10));
+  f.run_for(seconds(11));
+  CHECK(l.ran * 100 >= l.asked * 95);
+}
+
+TEST(team_quota, a_slow_team_is_served_while_the_store_is_down_from_the_start) {
+  routed_fleet f(21);
+  build_routed_fleet(f, 4, simple_routes(16, 16));
+  f.store_down = true;
+  f.run_for(seconds(2));
+  load l(f, {"a1", "b2", "a3", "b4", "a2", "b1", "a4", "b3"}, "/safe/x", 4,
+         seconds(25));
+  f.run_for(seconds(26));
+  CHECK(l.ran * 100 >= l.asked * 95);
+}
+
+TEST(team_quota, a_team_over_its_rate_gets_no_more_whatever_is_cut_or_killed) {
+  routed_fleet f(22);
+  build_routed_fleet(f, 4, simple_routes(40, 40));
+  f.run_for(seconds(2));
+  const std::vector<std::string> all{"a1", "a2", "a3", "a4",
+                                     "b1", "b2", "b3", "b4"};
+  std::vector<std::uint64_t> at_second;
+  load l(f, all, "/safe/x", 300, seconds(30));
+  for (int s = 0; s < 30; ++s) {
+    if (s == 5) {
+      for (const char* a : {"a1", "a2", "a3", "a4"}) {
+        for (const char* b : {"b1", "b2", "b3", "b4"}) {
+          f.cut(a, b);
+        }
+      }
+    }
+    if (s == 18) {
+      f.heal();
+    }
+    if (s == 12 || s == 22) {
+      for (const std::string& it : all) {
+        f.kill(it);
+        f.revive(it);
+      }
+    }
+    at_second.push_back(runs_of(f, all));
+    f.run_for(seconds(1));
+  }
+  for (std::size_t i = 0; i + 5 < at_second.size(); ++i) {
+    const std::uint64_t in_window = at_second[i + 5] - at_second[i];
+    CHECK(in_window <= (40 * 5 + 40) * 1.1 + 20);
+  }
+}
--- /dev/null
+++ b/tests/support/routed_fleet.cpp
@@ -0,0 +1,342 @@
+// Deliveries, the store and announcements of the routed fleet.
+#include "routed_fleet.hpp"
+
+#include "kingcupslip/net/frame.hpp"
+
+#include <algorithm>
+
+namespace kingcupslip {
+
+namespace {
+
+constexpr duration tick_period = std::chrono::milliseconds(10);
+constexpr duration announce_period = std::chrono::milliseconds(500);
+constexpr duration near_latency = std::chrono::microseconds(200);
+constexpr duration far_latency = std::chrono::microseconds(1400);
+constexpr duration store_latency = std::chrono::milliseconds(4);
+constexpr duration watch_step = std::chrono::milliseconds(20);
+constexpr duration watch_time = std::chrono::seconds(3);
+constexpr duration silence_noticed = std::chrono::seconds(2);
+constexpr std::chrono::milliseconds origin_ms{1'700'000'000'000};
+
+} // namespace
+
+routed_fleet::routed_fleet(std::uint64_t seed) : random(seed) {}
+
+routed_node& routed_fleet::add(const std::string& name,
+                               const std::string& data_centre,
+                               const std::string& service,
+                               fake_target::shape shape) {
+  std::unique_ptr<one> m = std::make_unique<one>();
+  m->name = name;
+  m->data_centre = data_centre;
+  m->service = service;
+  m->target = std::make_unique<fake_target>(
+      time, shape, [this, name](std::uint64_t run, target_result r) {
+        in_node(name, m_nodes.at(name)->life,
+                [this, name, run, r] { at(name).on_target_result(run, r); });
+      });
+  one& added = *m;
+  m_nodes[name] = std::move(m);
+  start(added);
+  return *added.core;
+}
+
+void routed_fleet::start(one& m) {
+  ++m.life;
+  routed_options o;
+  o.self.node = m.name;
+  o.self.data_centre = m.data_centre;
+  o.self.service = m.service;
+  o.self.address = m.name;
+  o.self.incarnation = static_cast<std::uint64_t>(clocks().wall.count());
+  m.core = std::make_unique<routed_node>(o, hooks_for(m));
+  m.core->set_clock(clocks());
+  tick(m.name, m.life);
+  announce(m.name, m.life);
+}
+
+routed_hooks routed_fleet::hooks_for(one& m) {
+  const std::string name = m.name;
+  const std::uint64_t life = m.life;
+  routed_hooks h;
+  h.send = [this, name](const std::string& to, const wire::payloadUnion& body) {
+    deliver(name, to, body);
+  };
+  h.target.run = [this, name](std::uint64_t run, target_request r) {
+    target(name).run(run, std::move(r));
+  };
+  h.target.cancel = [this, name](std::uint64_t run) {
+    target(name).cancel(run);
+  };
+  h.target.log = [](event_id, const event_fields&) {};
+  h.table.read = [this, name, life](const table_query& q,
+                                    const read_handler& handler) {
+    ++store_calls;
+    const bool reached = reaches_store(name);
+    time.after(store_latency, [this, name, life, q, handler, reached] {
+      in_node(name, life, [this, q, handler, reached] {
+        reached ? handler(table_status::ok, rows.read(q))
+                : handler(table_status::unavailable, {});
+      });
+    });
+  };
+  h.table.commit = [this, name, life](const table_transaction& t,
+                                      const commit_handler& handler) {
+    ++store_calls;
+    const bool reached = reaches_store(name);
+    time.after(store_latency, [this, name, life, t, handler, reached] {
+      std::uint64_t version = 0;
+      const table_status s =
+          reached ? rows.commit(t, version) : table_status::unavailable;
+      in_node(name, life, [handler, s, version] { handler(s, version); });
+    });
+  };
+  h.watch.read_all = [this, name, life](const watch_handler& handler) {
+    ++store_calls;
+    const bool reached = reaches_store(name);
+    time.after(store_latency, [this, name, life, handler, reached] {
+      in_node(name, life, [this, handler, reached] {
+        std::vector<operator_item> items;
+        for (const std::pair<const std::string, operator_item>& it : m_items) {
+          if (!it.second.removed) {
+            items.push_back(it.second);
+          }
+        }
+        reached ? handler(watch_status::ok, items, m_version)
+                : handler(watch_status::unavailable, {}, 0);
+      });
+    });
+  };
+  h.watch.wait_changes = [this, name, life](std::uint64_t after,
+                                            const watch_handler& handler) {
+    ++store_calls;
+    poll_watch(name, life, after, handler, time.now() + watch_time);
+  };
+  h.watch.decode = [this](const std::string& text) {
+    const auto it = m_documents.find(text);
+    return it == m_documents.end() ? nullptr : it->second;
+  };
+  h.random = [this] { return random(); };
+  h.log = [this, name](event_id id, const event_fields&) {
+    events.push_back(name + " " + std::string(info_of(id).name));
+  };
+  return h;
+}
+
+void routed_fleet::poll_watch(const std::string& name, std::uint64_t life,
+                              std::uint64_t after, const watch_handler& handler,
+                              instant until) {
+  time.after(watch_step, [this, name, life, after, handler, until] {
+    if (!reaches_store(name)) {
+      in_node(name, life,
+              [handler] { handler(watch_status::unavailable, {}, 0); });
+      return;
+    }
+    if (after < m_history_from) {
+      in_node(name, life,
+              [handler] { handler(watch_status::history_gone, {}, 0); });
+      return;
+    }
+    std::vector<operator_item> changed;
+    for (const std::pair<const std::string, operator_item>& it : m_items) {
+      if (it.second.version > after) {
+        changed.push_back(it.second);
+      }
+    }
+    if (changed.empty() && time.now() < until) {
+      poll_watch(name, life, after, handler, until);
+      return;
+    }
+    const std::uint64_t version = m_version;
+    in_node(name, life, [handler, changed, version] {
+      handler(watch_status::ok, changed, version);
+    });
+  });
+}
+
+void routed_fleet::tick(const std::string& name, std::uint64_t life) {
+  in_node(name, life, [this, name] { at(name).tick(); });
+  time.after(tick_period, [this, name, life] {
+    if (m_nodes.at(name)->life == life && m_nodes.at(name)->core) {
+      tick(name, life);
+    }
+  });
+}
+
+void routed_fleet::announce(const std::string& name, std::uint64_t life) {
+  one& m = *m_nodes.at(name);
+  if (!m.target->down() && announcing) {
+    target_announcement a;
+    a.instance = name + "-" + std::to_string(m.target->life());
+    a.born = m.target->life();
+    a.sequence = ++m.sequence;
+    a.service = m.service;
+    a.slots = slots;
+    a.cold_left = cold_left;
+    in_node(name, life, [this, name, a] { at(name).on_target_announce(a); });
+  }
+  time.after(announce_period, [this, name, life] {
+    if (m_nodes.at(name)->life == life && m_nodes.at(name)->core) {
+      announce(name, life);
+    }
+  });
+}
+
+void routed_fleet::in_node(const std::string& name, std::uint64_t life,
+                           const std::function<void()>& work) {
+  one& m = *m_nodes.at(name);
+  if (m.core && m.life == life) {
+    m.core->set_clock(clocks());
+    work();
+  }
+}
+
+void routed_fleet::deliver(const std::string& from, const std::string& to,
+                           const wire::payloadUnion& body) {
+  const frame_bytes frame = encode_frame(body);
+  const std::uint64_t correlation =
+      body.type == wire::payload::call ? body.Ascall()->correlation : 0;
+  const std::uint64_t sender_life = m_nodes.at(from)->life;
+  const auto it = m_nodes.find(to);
+  if (it == m_nodes.end() || !it->second->core) {
+    time.after(near_latency, [this, from, sender_life, correlation] {
+      in_node(from, sender_life, [this, from, correlation] {
+        if (correlation != 0) {
+          at(from).on_call_unsent(correlation);
+        }
+      });
+    });
+    return;
+  }
+  if (m_cut.count({from, to}) != 0) {
+    time.after(silence_noticed, [this, from, to, sender_life] {
+      in_node(from, sender_life,
+              [this, from, to] { at(from).on_peer_lost(to); });
+    });
+    return;
+  }
+  const bool near = m_nodes.at(from)->data_centre == it->second->data_centre;
+  const std::uint64_t life = it->second->life;
+  const frame_bytes payload(frame.begin() + frame_head_bytes, frame.end());
+  time.after(near ? near_latency : far_latency, [this, from, to, life,
+                                                 payload] {
+    in_node(to, life, [this, from, to, payload] {
+      std::optional<wire::payloadUnion> m = decode_frame(payload);
+      if (m) {
+        at(to).on_message(from, *m);
+      }
+    });
+  });
+}
+
+void routed_fleet::kill(const std::string& name) {
+  m_nodes.at(name)->core.reset();
+  for (const std::pair<const std::string, std::unique_ptr<one>>& it : m_nodes) {
+    const std::string other = it.first;
+    in_node(other, it.second->life,
+            [this, other, name] { at(other).on_peer_lost(name); });
+  }
+}
+
+void routed_fleet::revive(const std::string& name) {
+  start(*m_nodes.at(name));
+}
+
+void routed_fleet::cut(const std::string& a, const std::string& b) {
+  m_cut.insert({a, b});
+  m_cut.insert({b, a});
+}
+
+void routed_fleet::write_routes(route_table::content c) {
+  ++m_version;
+  c.version = "v" + std::to_string(m_version);
+  const std::string text = c.version;
+  m_documents[text] = std::make_shared<const route_table>(std::move(c));
+  m_items["routes"] = {operator_item::kind::routes, "", text, m_version, false};
+}
+
+void routed_fleet::mark_out(const std::string& data_centre, bool out) {
+  ++m_version;
+  m_items["out/" + data_centre] = {operator_item::kind::data_centre_out,
+                                   data_centre, "", m_version, !out};
+}
+
+void routed_fleet::compact() { m_history_from = ++m_version; }
+
+void routed_fleet::request(const std::string& through, const std::string& path,
+                           const std::string& key, outcome_handler handler,
+                           std::chrono::milliseconds time_left,
+                           const std::string& body, std::uint64_t connection) {
+  routed_request r;
+  r.id = std::to_string(random());
+  r.method = "POST";
+  r.host = "h";
+  r.path = path;
+  r.time_left = time_left;
+  r.connection = connection;
+  r.body.assign(body.begin(), body.end());
+  if (!key.empty()) {
+    r.api_key = key;
+  }
+  in_node(through, m_nodes.at(through)->life, [this, through, r, handler] {
+    at(through).on_request(r, handler);
+  });
+}
+
+outcome routed_fleet::ask(const std::string& through, const std::string& path,
+                          const std::string& key,
+                          std::chrono::milliseconds time_left,
+                          const std::string& body) {
+  const std::shared_ptr<std::optional<outcome>> got =
+      std::make_shared<std::optional<outcome>>();
+  request(through, path, key, [got](outcome o) { *got = std::move(o); },
+          time_left, body);
+  for (int i = 0; i < 10'000 && !*got; ++i) {
+    run_for(std::chrono::milliseconds(1));
+  }
+  return got->value_or(refusal(reason::connection_lost, verdict::may_have_run));
+}
+
+clock_reading routed_fleet::clocks() const {
+  clock_reading out;
+  out.now = time.now();
+  out.wall =
+      origin_ms + std::chrono::duration_cast<wall_time>(time.now());
+  return out;
+}
+
+route_table::content simple_routes(double rate, double burst) {
+  route_table::content c;
+  host_route safe;
+  safe.name = "safe";
+  safe.host = "h";
+  safe.path_prefix = "/safe/";
+  safe.services = {{"svc", 1}};
+  safe.idempotent = true;
+  safe.most_targets = 2;
+  host_route once = safe;
+  once.name = "once";
+  once.path_prefix = "/once/";
+  once.idempotent = false;
+  host_route inner = safe;
+  inner.name = "inner";
+  inner.path_prefix = "/inner/";
+  inner.open = true;
+  c.routes = {safe, once, inner};
+  c.services["svc"] = {std::chrono::milliseconds(3000), 10, 0};
+  c.teams.push_back({"t", {"k"}, std::nullopt, rate, burst});
+  return c;
+}
+
+void build_routed_fleet(routed_fleet& f, std::size_t per_data_centre,
+                        route_table::content routes) {
+  f.write_routes(std::move(routes));
+  for (std::size_t i = 1; i <= per_data_centre; ++i) {
+    f.add("a" + std::to_string(i), "dc-a", "svc");
+    f.add("b" + std::to_string(i), "dc-b", "svc");
+  }
+  f.run_for(std::chrono::seconds(3));
+}
+
+} // namespace kingcupslip
