A leaving caller's request ends safely; cold targets are limited from the start

Cause 2: a target announced before the desired state was known had no cold rate. Requests past their time now leave the line with a refusal that nothing ran. Ruled out: load (the crash is in one path and repeats in a unit test).

--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -132,8 +132,9 @@
     return;
   }
   e->gone = true;
-  if (e->job) {
-    m_parts.dispatch.cancel(e->job);
+  // A copy: the request's end lets go of its job.
+  if (const std::shared_ptr<dispatch_job> job = e->job) {
+    m_parts.dispatch.cancel(job);
   }
 }
 
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -68,8 +68,7 @@
   follow_fleet_size();
   m_quota.tick(m_clock.now);
   m_local.tick();
-  m_gossip.set_service(m_local.service());
-  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+  follow_target();
   m_dispatch.tick();
   m_entry.tick();
   m_calls.expire(m_clock.now);
@@ -135,20 +134,15 @@
   m_local.on_result(run, std::move(result));
 }
 
-void routed_node::on_target_announce(target_announcement a) {
-  const route_table* table = m_state.routes();
-  const service_terms* terms =
-      table == nullptr ? nullptr : table->find_service(a.service);
-  a.cold_per_s = terms == nullptr ? 0 : terms->cold_per_s;
+void routed_node::on_target_announce(const target_announcement& a) {
   m_local.on_announce(a);
-  m_gossip.set_service(m_local.service());
-  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+  follow_target();
 }
 
 void routed_node::on_target_leave(const std::string& instance,
                                   std::uint64_t born) {
   m_local.on_leave(instance, born);
-  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+  follow_target();
 }
 
 bool routed_node::ready() const {
@@ -214,18 +208,28 @@
   }
   const bool out = m_state.data_centre_out(m_options.self.data_centre);
   m_local.set_out(out);
-  if (m_out && !out && table != nullptr) {
+  const service_terms* terms = target_terms();
+  if (m_out && !out && terms != nullptr) {
     // It may have become cold meanwhile; its next announcement says.
-    const service_terms* terms = table->find_service(m_local.service());
-    if (terms != nullptr) {
-      m_local.assume_cold(terms->cold_start, terms->cold_per_s);
-    }
+    m_local.assume_cold(terms->cold_start);
   }
   m_out = out;
-  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+  follow_target();
   m_gossip.spread(2);
 }
 
+const service_terms* routed_node::target_terms() const {
+  const route_table* table = m_state.routes();
+  return table == nullptr ? nullptr : table->find_service(m_local.service());
+}
+
+void routed_node::follow_target() {
+  const service_terms* terms = target_terms();
+  m_local.set_cold_rate(terms == nullptr ? 0 : terms->cold_per_s);
+  m_gossip.set_service(m_local.service());
+  m_gossip.set_ready(m_local.ready(), static_cast<double>(m_local.limit()));
+}
+
 void routed_node::tick_drain() {
   if (!m_drain_began || m_left) {
     return;
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -55,7 +55,7 @@
   void on_peer_lost(const std::string& peer);
 
   void on_target_result(std::uint64_t run, target_result result);
-  void on_target_announce(target_announcement a);
+  void on_target_announce(const target_announcement& a);
   void on_target_leave(const std::string& instance, std::uint64_t born);
 
   /// Whether callers may be sent here.
@@ -79,6 +79,9 @@
   void on_call(const std::string& from, wire::callT call);
   void send_reply(const std::string& to, std::uint64_t correlation, outcome o);
   void apply_desired_state();
+  /// Tells the others what the target beside this node takes.
+  void follow_target();
+  const service_terms* target_terms() const;
   void tick_drain();
   void follow_fleet_size();
 
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -143,8 +143,7 @@
   m_target_draining = a.draining;
   m_service = a.service.empty() ? m_options.service : a.service;
   m_slots = a.slots;
-  m_cold_until = a.cold_per_s > 0 ? m_clock.now + a.cold_left : instant(0);
-  m_cold_starts.resize(a.cold_per_s, cold_burst, m_clock.now);
+  m_cold_until = m_clock.now + a.cold_left;
   m_ready = true;
   start_waiting();
 }
@@ -178,9 +177,21 @@
     }
     fall_silent();
   }
+  shed_late();
   start_waiting();
 }
 
+void target_stage::shed_late() {
+  // Said while the caller still waits, and known not to have run.
+  const instant hopeless = m_clock.now + m_limit.floor_latency();
+  const auto late = [hopeless](const waiting_request& w) {
+    return w.deadline <= hopeless;
+  };
+  for (const waiting_request& it : m_queue.remove_if(late)) {
+    end_held(it.id, refusal(reason::deadline));
+  }
+}
+
 void target_stage::fall_silent() {
   m_ready = false;
   const auto everyone = [](const waiting_request&) { return true; };
@@ -196,11 +207,12 @@
   m_out = out;
 }
 
-void target_stage::assume_cold(duration span, double cold_per_s) {
-  if (cold_per_s > 0) {
-    m_cold_until = m_clock.now + span;
-    m_cold_starts.resize(cold_per_s, cold_burst, m_clock.now);
-  }
+void target_stage::assume_cold(duration span) {
+  m_cold_until = m_clock.now + span;
+}
+
+void target_stage::set_cold_rate(double per_s) {
+  m_cold_starts.resize(per_s, cold_burst, m_clock.now);
 }
 
 void target_stage::refuse_keys(const std::vector<std::string>& key_ids) {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -125,7 +125,9 @@
   void set_out(bool out);
 
   /// Treats the target as cold until its next announcement.
-  void assume_cold(duration span, double cold_per_s);
+  void assume_cold(duration span);
+  /// Requests a second that a cold target bears; 0: no limit.
+  void set_cold_rate(double per_s);
 
   /// Refuses queued work of withdrawn keys.
   void refuse_keys(const std::vector<std::string>& key_ids);
@@ -186,10 +188,13 @@
   duration time_to_serve() const;
   duration longest_wait(instant deadline) const;
   duration expected_wait(const wire::callT& request) const;
-  bool cold() const { return m_clock.now < m_cold_until; }
+  bool cold() const {
+    return m_clock.now < m_cold_until && m_cold_starts.rate_per_s() > 0;
+  }
   /// Takes one of the starts that a cold target bears, if there is one now.
   bool take_start();
   void fall_silent();
+  void shed_late();
   bool stale(const target_announcement& a) const;
 
   target_options m_options;
--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -187,8 +187,9 @@
     f.target("a1").settings().service = milliseconds(300);
     f.target("b1").settings().service = milliseconds(300);
     std::optional<outcome> got;
-    f.request("a1", idempotent ? "/safe/x" : "/once/x", "k",
-              [&got](outcome o) { got = std::move(o); }, seconds(2));
+    f.request(
+        "a1", idempotent ? "/safe/x" : "/once/x", "k",
+        [&got](outcome o) { got = std::move(o); }, seconds(2));
     f.run_for(milliseconds(50));
     f.target("a1").crash();
     f.run_for(seconds(3));
@@ -287,20 +288,71 @@
   f.target("b1").settings().service = seconds(1);
   f.target("a1").crash();
   f.run_for(seconds(7));
-  f.request("a1", "/safe/x", "k", [](const outcome&) {}, seconds(3), "", 77);
+  f.request(
+      "a1", "/safe/x", "k", [](const outcome&) {}, seconds(3), "", 77);
   f.run_for(milliseconds(100));
   f.at("a1").on_caller_gone(77);
   f.run_for(milliseconds(100));
   LONGS_EQUAL(1, f.target("b1").cancelled);
 }
 
+TEST(routed_node, a_caller_may_leave_while_its_request_waits_in_line) {
+  routed_fleet f(17);
+  f.slots = 1;
+  build_routed_fleet(f, 1);
+  f.target("b1").crash();
+  f.target("a1").settings().service = seconds(1);
+  f.run_for(seconds(7));
+  f.request(
+      "a1", "/safe/x", "k", [](const outcome&) {}, seconds(4));
+  std::optional<outcome> got;
+  f.request(
+      "a1", "/safe/x", "k", [&got](outcome o) { got = std::move(o); },
+      seconds(4), "", 78);
+  f.run_for(milliseconds(50));
+  f.at("a1").on_caller_gone(78);
+  f.run_for(milliseconds(50));
+  CHECK(got.has_value());
+  CHECK(reason::cancelled == got->why);
+}
+
+TEST(routed_node, a_target_announced_before_the_state_is_known_is_cold_too) {
+  routed_fleet f(18);
+  f.cold_left = seconds(8);
+  f.add("a1", "dc-a", "svc");
+  f.run_for(seconds(1));
+  f.announcing = false;
+  f.write_routes(simple_routes());
+  f.run_for(seconds(2));
+  load l(f, {"a1"}, "/safe/x", 300, seconds(1));
+  f.run_for(seconds(1));
+  CHECK(f.target("a1").total_runs <= 10 + 3);
+  f.run_for(seconds(3));
+}
+
+TEST(routed_node, a_refusal_comes_in_time_and_says_that_nothing_ran) {
+  routed_fleet f(19);
+  f.slots = 1;
+  build_routed_fleet(f, 1);
+  f.target("b1").crash();
+  f.target("a1").settings().service = seconds(1);
+  f.run_for(seconds(7));
+  f.request(
+      "a1", "/safe/x", "k", [](const outcome&) {}, seconds(4));
+  f.run_for(milliseconds(10));
+  const outcome o = f.ask("a1", "/once/x", "k", milliseconds(300));
+  CHECK(verdict::not_run == o.ran);
+  CHECK(reason::deadline == o.why || reason::shed == o.why);
+}
+
 TEST(routed_node, a_graceful_stop_finishes_what_runs_and_leaves) {
   routed_fleet f(16);
   build_routed_fleet(f, 2);
   f.target("a1").settings().service = milliseconds(1500);
   std::optional<outcome> got;
-  f.request("a2", "/once/x", "k", [&got](outcome o) { got = std::move(o); },
-            seconds(4));
+  f.request(
+      "a2", "/once/x", "k", [&got](outcome o) { got = std::move(o); },
+      seconds(4));
   f.run_for(milliseconds(50));
   f.at("a1").start_draining();
   f.at("a2").start_draining();
--- a/tests/support/routed_fleet.cpp
+++ b/tests/support/routed_fleet.cpp
@@ -219,15 +219,15 @@
   const bool near = m_nodes.at(from)->data_centre == it->second->data_centre;
   const std::uint64_t life = it->second->life;
   const frame_bytes payload(frame.begin() + frame_head_bytes, frame.end());
-  time.after(near ? near_latency : far_latency, [this, from, to, life,
-                                                 payload] {
-    in_node(to, life, [this, from, to, payload] {
-      std::optional<wire::payloadUnion> m = decode_frame(payload);
-      if (m) {
-        at(to).on_message(from, *m);
-      }
-    });
-  });
+  time.after(near ? near_latency : far_latency,
+             [this, from, to, life, payload] {
+               in_node(to, life, [this, from, to, payload] {
+                 std::optional<wire::payloadUnion> m = decode_frame(payload);
+                 if (m) {
+                   at(to).on_message(from, *m);
+                 }
+               });
+             });
 }
 
 void routed_fleet::kill(const std::string& name) {
@@ -239,9 +239,7 @@
   }
 }
 
-void routed_fleet::revive(const std::string& name) {
-  start(*m_nodes.at(name));
-}
+void routed_fleet::revive(const std::string& name) { start(*m_nodes.at(name)); }
 
 void routed_fleet::cut(const std::string& a, const std::string& b) {
   m_cut.insert({a, b});
@@ -279,9 +277,8 @@
   if (!key.empty()) {
     r.api_key = key;
   }
-  in_node(through, m_nodes.at(through)->life, [this, through, r, handler] {
-    at(through).on_request(r, handler);
-  });
+  in_node(through, m_nodes.at(through)->life,
+          [this, through, r, handler] { at(through).on_request(r, handler); });
 }
 
 outcome routed_fleet::ask(const std::string& through, const std::string& path,
@@ -290,8 +287,9 @@
                           const std::string& body) {
   const std::shared_ptr<std::optional<outcome>> got =
       std::make_shared<std::optional<outcome>>();
-  request(through, path, key, [got](outcome o) { *got = std::move(o); },
-          time_left, body);
+  request(
+      through, path, key, [got](outcome o) { *got = std::move(o); }, time_left,
+      body);
   for (int i = 0; i < 10'000 && !*got; ++i) {
     run_for(std::chrono::milliseconds(1));
   }
@@ -301,8 +299,7 @@
 clock_reading routed_fleet::clocks() const {
   clock_reading out;
   out.now = time.now();
-  out.wall =
-      origin_ms + std::chrono::duration_cast<wall_time>(time.now());
+  out.wall = origin_ms + std::chrono::duration_cast<wall_time>(time.now());
   return out;
 }
 
--- a/tests/support/routed_fleet.hpp
+++ b/tests/support/routed_fleet.hpp
@@ -46,17 +46,17 @@
   void compact();
 
   /// A caller's request; the handler runs exactly once.
-  void request(const std::string& through, const std::string& path,
-               const std::string& key, outcome_handler handler,
-               std::chrono::milliseconds time_left =
-                   std::chrono::milliseconds(1000),
-               const std::string& body = "", std::uint64_t connection = 0);
+  void
+  request(const std::string& through, const std::string& path,
+          const std::string& key, outcome_handler handler,
+          std::chrono::milliseconds time_left = std::chrono::milliseconds(1000),
+          const std::string& body = "", std::uint64_t connection = 0);
   /// The same, and waits for the outcome.
-  outcome ask(const std::string& through, const std::string& path,
-              const std::string& key,
-              std::chrono::milliseconds time_left =
-                  std::chrono::milliseconds(1000),
-              const std::string& body = "");
+  outcome
+  ask(const std::string& through, const std::string& path,
+      const std::string& key,
+      std::chrono::milliseconds time_left = std::chrono::milliseconds(1000),
+      const std::string& body = "");
 
   scheduler time;
   std::mt19937_64 random;
@@ -65,8 +65,8 @@
   std::set<std::string> cut_off; ///< nodes that do not reach the store
   std::uint64_t store_calls = 0;
   bool announcing = true;
-  duration cold_left{0};     ///< as targets announce it
-  std::size_t slots = 10;    ///< as targets announce them
+  duration cold_left{0};  ///< as targets announce it
+  std::size_t slots = 10; ///< as targets announce them
   std::vector<std::string> events;
 
 private:
