Log lines go to standard output through a bounded queue, with a most per kind

Cause: lines went to standard error, one flush each on the loop's thread, and without bound: a slow reader stopped requests.

--- a/src/kingcupslip/daemon/event_log.cpp
+++ b/src/kingcupslip/daemon/event_log.cpp
@@ -1,7 +1,11 @@
 // Formatting of events.
 #include "kingcupslip/daemon/event_log.hpp"
 
+#include "kingcupslip/core/line_budget.hpp"
+#include "kingcupslip/net/loop.hpp"
+
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -12,6 +16,8 @@
 
 namespace {
 
+constexpr std::size_t most_waiting_lines = 4096;
+
 spdlog::level::level_enum to_spdlog(event_level level) {
   constexpr std::array<spdlog::level::level_enum, 3> levels{
       spdlog::level::info, spdlog::level::warn, spdlog::level::err};
@@ -43,19 +49,33 @@
 } // namespace
 
 event_sink make_event_log(log_format format, const std::string& node) {
+  const std::shared_ptr<spdlog::details::thread_pool> pool =
+      std::make_shared<spdlog::details::thread_pool>(most_waiting_lines, 1);
   const std::shared_ptr<spdlog::logger> logger =
-      std::make_shared<spdlog::logger>(
-          "events", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+      std::make_shared<spdlog::async_logger>(
+          "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), pool,
+          spdlog::async_overflow_policy::overrun_oldest);
   const bool json = format == log_format::json;
   logger->set_pattern(json
                           ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v)"
                           : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
                       spdlog::pattern_time_type::utc);
-  return [logger, json, node](event_id id, const event_fields& fields) {
+  logger->flush_on(spdlog::level::info);
+  const auto write = [logger, pool, json, node](event_id id,
+                                                const event_fields& fields) {
     const event_info& info = info_of(id);
     logger->log(to_spdlog(info.level), json ? as_json(info, fields, node)
                                             : as_text(info, fields, node));
-    logger->flush();
+  };
+  const std::shared_ptr<line_budget> budget = std::make_shared<line_budget>();
+  return [write, budget](event_id id, const event_fields& fields) {
+    const instant now = read_clocks().now;
+    if (const std::optional<event_fields> left_out = budget->turn(now)) {
+      write(event_id::lines_dropped, *left_out);
+    }
+    if (budget->admit(id)) {
+      write(id, fields);
+    }
   };
 }
 
--- /dev/null
+++ b/tests/core/line_budget_test.cpp
@@ -0,0 +1,32 @@
+// The bound on log lines.
+#include "kingcupslip/core/line_budget.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kingcupslip;
+
+// clang-format off
+TEST_GROUP(line_budget){
+};
+// clang-format on
+
+TEST(line_budget, answers_are_left_out_before_refusals_and_counted) {
+  line_budget b;
+  instant now = std::chrono::seconds(10);
+  CHECK_FALSE(b.turn(now).has_value());
+  int answers = 0;
+  int refusals = 0;
+  for (int i = 0; i < 80; ++i) {
+    answers += b.admit(event_id::request_answered) ? 1 : 0;
+    refusals += b.admit(event_id::request_refused) ? 1 : 0;
+  }
+  LONGS_EQUAL(20, answers);
+  LONGS_EQUAL(80, refusals);
+  now += std::chrono::seconds(1);
+  const std::optional<event_fields> left_out = b.turn(now);
+  CHECK(left_out.has_value());
+  LONGS_EQUAL(1, left_out->size());
+  STRCMP_EQUAL("request_answered", left_out->front().first.c_str());
+  STRCMP_EQUAL("60", left_out->front().second.c_str());
+  CHECK(b.admit(event_id::request_answered));
+}
