Peers that do not answer are avoided within 0.7 s and dropped within 2 s

Cause: a silent peer was pinged after 1 s and dropped after 3 s, longer than the time limit of short requests; the count restarted with unrelated traffic. Change: the wait counts from the oldest answer that is due; quiet peers get new work only where there is nobody else. A relay that loses track of open connections shows it (peer_network test).

--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -85,6 +85,7 @@
 
 std::vector<target_view> dispatcher::candidates(const dispatch_job& job) const {
   std::vector<target_view> out;
+  std::vector<target_view> quiet;
   const std::string& self = m_members.self().info.node;
   const std::string& here = m_members.self().info.data_centre;
   for (const std::pair<const std::string, member>& it : m_members.all()) {
@@ -104,9 +105,9 @@
     v.limit = local ? static_cast<double>(m_local.limit()) : m.limit;
     v.in_flight_there =
         local ? m_local.in_flight() + m_local.queued() : m.in_flight;
-    out.push_back(std::move(v));
+    (it.second.quiet ? quiet : out).push_back(std::move(v));
   }
-  return out;
+  return out.empty() ? quiet : out;
 }
 
 void dispatcher::attempt(const std::shared_ptr<dispatch_job>& job) {
--- a/src/kingcupslip/core/member_table.hpp
+++ b/src/kingcupslip/core/member_table.hpp
@@ -31,7 +31,8 @@
   std::uint32_t tells_left = 0;
   std::size_t in_flight_here = 0;
   std::uint32_t failures = 0;
-  instant avoided_until{0};          ///< takes no work as far as this node saw
+  instant avoided_until{0}; ///< takes no work as far as this node saw
+  bool quiet = false;       ///< nothing comes back from it at the moment
   std::uint64_t config_sequence = 0; ///< as its last gossip said
   instant failure_at{0};
 
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -130,6 +130,12 @@
   m_calls.on_peer_lost(peer);
 }
 
+void routed_node::on_peer_quiet(const std::string& peer, bool quiet) {
+  if (member* m = m_members.find(peer)) {
+    m->quiet = quiet;
+  }
+}
+
 void routed_node::on_target_result(std::uint64_t run, target_result result) {
   m_local.on_result(run, std::move(result));
 }
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -42,6 +42,9 @@
   peers.on_lost = [this](const std::string& peer) {
     core().on_peer_lost(peer);
   };
+  peers.on_quiet = [this](const std::string& peer, bool quiet) {
+    core().on_peer_quiet(peer, quiet);
+  };
   peers.address_of = [this](const std::string& peer) {
     return m_node->address_of(peer);
   };
--- a/src/kingcupslip/net/peer_network.hpp
+++ b/src/kingcupslip/net/peer_network.hpp
@@ -26,6 +26,9 @@
   /// The call's frame was surely never written.
   std::function<void(std::uint64_t correlation)> on_unsent;
   std::function<void(const std::string& peer)> on_lost;
+  /// Nothing comes back from a peer at the moment, or something does again;
+  /// may be null.
+  std::function<void(const std::string& peer, bool quiet)> on_quiet;
   std::function<std::string(const std::string& peer)> address_of;
   event_sink log;
 };
@@ -41,7 +44,7 @@
 
 /// Runs on the loop. Connects when there is something to send; both ends
 /// prove that they know the fleet's secret before any other frame counts.
-/// A connection that stays silent for 3 s after something was sent on it is
+/// A connection that stays silent for 2 s after something was sent on it is
 /// dropped, and one that was idle for minutes is closed.
 class peer_network {
 public:
@@ -54,7 +57,7 @@
   const peer_counters& counters() const { return m_counters; }
   std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
 
-  /// Checks for silence; call once a second.
+  /// Checks for silence; call several times a second.
   void tick();
 
 private:
--- a/src/kingcupslip/net/peer_session.cpp
+++ b/src/kingcupslip/net/peer_session.cpp
@@ -18,8 +18,10 @@
 using error_code = boost::system::error_code;
 
 constexpr std::chrono::milliseconds greeting_time{1000};
-constexpr duration ping_after = std::chrono::seconds(1);
-constexpr duration silent_after = std::chrono::seconds(3);
+constexpr duration ping_after = std::chrono::milliseconds(250);
+/// Longer than a lost packet takes to be sent again twice.
+constexpr duration quiet_after = std::chrono::milliseconds(700);
+constexpr duration silent_after = std::chrono::seconds(2);
 constexpr duration idle_after = std::chrono::minutes(5);
 constexpr std::size_t most_greeting_bytes = 4096;
 constexpr std::size_t most_queued = 20'000;
@@ -88,19 +90,37 @@
   if (!m_established || m_closed) {
     return;
   }
-  const duration quiet = now - m_received_at;
-  if (m_answer_due && quiet > silent_after && now - m_sent_at < quiet) {
+  const duration received = now - m_received_at;
+  const duration sent = now - m_sent_at;
+  if (!m_answer_due && received > idle_after && sent > idle_after) {
+    close(true);
+    return;
+  }
+  if (!m_answer_due || now - m_due_since < ping_after) {
+    return;
+  }
+  const duration silent = now - m_due_since;
+  if (silent > silent_after) {
     ++m_network->m_counters.silent_peers;
     fail(event_id::peer_silent, "nothing came back");
     return;
   }
-  if (m_answer_due && quiet > ping_after) {
+  set_quiet(silent > quiet_after);
+  if (now - m_pinged_at > ping_after) {
+    m_pinged_at = now;
     wire::payloadUnion ping;
     ping.Set(wire::pingT{});
     send(encode_frame(ping), 0, false);
   }
-  if (!m_answer_due && quiet > idle_after && now - m_sent_at > idle_after) {
-    close(true);
+}
+
+void peer_session::set_quiet(bool quiet) {
+  if (m_quiet == quiet) {
+    return;
+  }
+  m_quiet = quiet;
+  if (m_network->m_hooks.on_quiet) {
+    m_network->m_hooks.on_quiet(m_peer, quiet);
   }
 }
 
@@ -109,6 +129,7 @@
     return;
   }
   m_closed = true;
+  set_quiet(false);
   m_timer.cancel();
   error_code ignored;
   m_socket.close(ignored);
@@ -178,6 +199,7 @@
                      }
                      self->m_received_at = read_clocks().now;
                      self->m_answer_due = false;
+                     self->set_quiet(false);
                      self->on_frame(*body);
                      if (!self->m_closed) {
                        self->read_head();
@@ -266,7 +288,10 @@
   } else if (m_established && !m_queue.empty()) {
     m_now_writing = std::move(m_queue.front());
     m_queue.pop_front();
-    m_answer_due = m_answer_due || m_now_writing.expects_answer;
+    if (!m_answer_due && m_now_writing.expects_answer) {
+      m_answer_due = true;
+      m_due_since = read_clocks().now;
+    }
   } else {
     return;
   }
--- a/src/kingcupslip/net/peer_session.hpp
+++ b/src/kingcupslip/net/peer_session.hpp
@@ -49,6 +49,7 @@
   void write_greeting(frame_bytes frame);
   void write_next();
   void fail(event_id id, const std::string& why);
+  void set_quiet(bool quiet);
 
   peer_network* m_network;
   boost::asio::ip::tcp::socket m_socket;
@@ -67,7 +68,10 @@
   frame_bytes m_body;
   instant m_received_at{0};
   instant m_sent_at{0};
+  instant m_pinged_at{0};
+  instant m_due_since{0}; ///< when the oldest answer that is due was asked
   bool m_answer_due = false;
+  bool m_quiet = false;
 };
 
 } // namespace kingcupslip
--- /dev/null
+++ b/tests/net/peer_network_test.cpp
@@ -0,0 +1,86 @@
+// Connections between nodes that go silent while new ones work.
+#include "kingcupslip/net/peer_network.hpp"
+
+#include "support/silent_relay.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kingcupslip;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+node_identity identity(const std::string& name) {
+  node_identity out;
+  out.node = name;
+  out.incarnation = 1;
+  return out;
+}
+
+wire::payloadUnion call_with(std::uint64_t correlation) {
+  wire::callT call;
+  call.correlation = correlation;
+  wire::payloadUnion body;
+  body.Set(std::move(call));
+  return body;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(peer_network){
+};
+// clang-format on
+
+TEST(peer_network, a_silent_connection_is_noticed_dropped_and_replaced) {
+  io_loop loop;
+  std::vector<std::uint64_t> calls;
+  peer_hooks quiet_hooks;
+  quiet_hooks.on_message = [&calls](const std::string&,
+                                    wire::payloadUnion& body) {
+    if (body.type == wire::payload::call) {
+      calls.push_back(body.Ascall()->correlation);
+    }
+  };
+  quiet_hooks.on_unsent = [](std::uint64_t) {};
+  quiet_hooks.on_lost = [](const std::string&) {};
+  quiet_hooks.address_of = [](const std::string&) { return ""; };
+  quiet_hooks.log = [](event_id, const event_fields&) {};
+  peer_network callee(loop, identity("callee"), "the-secret-of-both",
+                      "127.0.0.1", 0, quiet_hooks);
+  silent_relay relay(loop, callee.port());
+
+  bool quiet = false;
+  int lost = 0;
+  peer_hooks hooks = quiet_hooks;
+  hooks.on_quiet = [&quiet](const std::string&, bool q) { quiet = q; };
+  hooks.on_lost = [&lost](const std::string&) { ++lost; };
+  hooks.address_of = [&relay](const std::string&) {
+    return "127.0.0.1:" + std::to_string(relay.port());
+  };
+  peer_network caller(loop, identity("caller"), "the-secret-of-both",
+                      "127.0.0.1", 0, hooks);
+  const auto run_for = [&loop, &caller](milliseconds span) {
+    const instant end = read_clocks().now + span;
+    while (read_clocks().now < end) {
+      loop.run_for(milliseconds(20));
+      caller.tick();
+    }
+  };
+  caller.send("callee", call_with(1));
+  run_for(milliseconds(200));
+  LONGS_EQUAL(1, calls.size());
+  relay.silence_open_connections();
+  caller.send("callee", call_with(2));
+  run_for(milliseconds(1300));
+  CHECK(quiet);
+  LONGS_EQUAL(0, lost);
+  run_for(milliseconds(1500));
+  LONGS_EQUAL(1, lost);
+  CHECK_FALSE(quiet);
+  caller.send("callee", call_with(3));
+  run_for(milliseconds(200));
+  LONGS_EQUAL(2, calls.size());
+  LONGS_EQUAL(3, calls.back());
+}
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -4,6 +4,7 @@
 """
 import base64
 import json
+import sys
 import threading
 import time
 import urllib.parse
@@ -31,9 +32,16 @@
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
 
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
+
 def serve(port, handler):
-    server = ThreadingHTTPServer(("127.0.0.1", port), handler)
-    server.daemon_threads = True
+    server = Server(("127.0.0.1", port), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
