SIGHUP and changed settings files are taken over; failed runs are logged

Ruled out: a crash of our own. Change: settings are read again on the signal and every 5 s; faulty ones change nothing.

--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -8,6 +8,9 @@
       {event_id::node_started, "node_started", event_level::info},
       {event_id::node_draining, "node_draining", event_level::info},
       {event_id::node_stopped, "node_stopped", event_level::info},
+      {event_id::settings_reloaded, "settings_reloaded", event_level::info},
+      {event_id::settings_unreadable, "settings_unreadable",
+       event_level::error},
       {event_id::target_announced, "target_announced", event_level::info},
       {event_id::target_silent, "target_silent", event_level::warning},
       {event_id::target_crashed, "target_crashed", event_level::warning},
@@ -33,6 +36,7 @@
       {event_id::request_answered, "request_answered", event_level::info},
       {event_id::request_refused, "request_refused", event_level::info},
       {event_id::lines_dropped, "lines_dropped", event_level::warning},
+      {event_id::run_failed, "run_failed", event_level::info},
       {event_id::announcement_ignored, "announcement_ignored",
        event_level::warning},
   };
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -18,6 +18,8 @@
   node_started = 100,
   node_draining = 101,
   node_stopped = 102,
+  settings_reloaded = 103,
+  settings_unreadable = 104,
   target_announced = 200,
   target_silent = 201,
   target_crashed = 202,
@@ -42,6 +44,7 @@
   request_answered = 700,
   request_refused = 701,
   lines_dropped = 702,
+  run_failed = 703,
   announcement_ignored = 704
 };
 
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -151,6 +151,13 @@
   follow_target();
 }
 
+void routed_node::set_limits(const routed_options& o) {
+  const node_identity self = m_options.self;
+  m_options = o;
+  m_options.self = self;
+  m_fleet_size = 0;
+}
+
 bool routed_node::ready() const {
   // Without other members the parts of the teams' rates are not known.
   const bool knows_fleet = m_gossip.joined() || m_members.all().size() > 1;
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -59,6 +59,9 @@
   void on_target_announce(const target_announcement& a);
   void on_target_leave(const std::string& instance, std::uint64_t born);
 
+  /// Follows settings that changed; the node's identity stays as it was.
+  void set_limits(const routed_options& o);
+
   /// Whether callers may be sent here.
   bool ready() const;
 
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -109,6 +109,9 @@
   const bool moved = result.end == target_end::answered &&
                      m_options.protocol.said_moved &&
                      m_options.protocol.said_moved(result);
+  if (moved || result.end != target_end::answered) {
+    log_failed_run(r, result, moved);
+  }
   if (moved || result.end == target_end::not_connected) {
     // Nothing more is sent until the target announces itself again.
     fall_silent();
@@ -291,6 +294,7 @@
   const std::uint64_t id = ++m_next;
   run r;
   r.ticket = ticket;
+  r.request_id = call.request.request_id;
   r.digest = call.request.digest;
   r.span = placement_hash(m_options.service + std::to_string(id) + "/" +
                           std::to_string(m_clock.wall.count()));
@@ -413,6 +417,20 @@
   return out;
 }
 
+void target_stage::log_failed_run(const run& r, const target_result& result,
+                                  bool moved) {
+  const char* how = moved                                     ? "moved"
+                    : result.end == target_end::not_connected ? "not_connected"
+                    : r.cancelled                             ? "cancelled"
+                                                              : "lost";
+  m_hooks.log(event_id::run_failed,
+              {{"request", r.request_id},
+               {"instance", m_instance},
+               {"how", how},
+               {"ran_us", std::to_string((m_clock.now - r.began).count())},
+               {"in_flight", std::to_string(m_runs.size())}});
+}
+
 void target_stage::note_loss(std::uint64_t run_id) {
   if (m_loss && m_clock.now - m_loss->at > loss_span) {
     m_loss.reset();
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -156,6 +156,7 @@
   };
   struct run {
     std::uint64_t ticket = 0;
+    std::string request_id;
     std::uint64_t digest = 0;
     std::uint64_t span = 0;
     instant began{0};
@@ -181,6 +182,7 @@
                            duration time_left) const;
   void learn(const run& r, const target_result& result);
   outcome judge(const run& r, target_result result) const;
+  void log_failed_run(const run& r, const target_result& result, bool moved);
   void note_loss(std::uint64_t run_id);
   void settle_loss(bool crashed);
   bool suspect_running() const { return m_suspect_run != 0; }
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::chrono::milliseconds tick_period{10};
 constexpr duration peers_period = std::chrono::milliseconds(100);
+constexpr duration settings_period = std::chrono::seconds(5);
+/// What still fits a frame between nodes, with its headers.
+constexpr std::size_t most_body_bytes = 8UL * 1024 * 1024;
 /// A target that misses this many announcements counts as gone.
 constexpr int announcements_missed = 4;
 
@@ -23,9 +26,10 @@
 } // namespace
 
 routed_daemon::routed_daemon(const routed_settings& settings,
-                             routed_protocol protocol)
-    : m_settings(settings), m_protocol(std::move(protocol)), m_timer(m_loop),
-      m_signals(m_loop, SIGTERM, SIGINT),
+                             routed_protocol protocol, settings_source reread)
+    : m_settings(settings), m_protocol(std::move(protocol)),
+      m_reread(std::move(reread)), m_timer(m_loop),
+      m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
       m_log(make_event_log(settings.log, settings.node)),
       m_store(m_loop, endpoint_of(settings.store)),
       m_target(m_loop, endpoint_of(settings.target)) {
@@ -52,9 +56,11 @@
   m_peers = std::make_unique<peer_network>(
       m_loop, options.self, settings.fleet_secret, settings.peers.ip,
       settings.peers.port, std::move(peers));
-  const auto listen = [this](const listen_address& at, server_hooks h) {
-    return std::make_unique<http_server>(m_loop, at.ip, at.port,
-                                         server_limits{}, std::move(h));
+  server_limits limits;
+  limits.body_bytes = most_body_bytes;
+  const auto listen = [this, limits](const listen_address& at, server_hooks h) {
+    return std::make_unique<http_server>(m_loop, at.ip, at.port, limits,
+                                         std::move(h));
   };
   m_callers = listen(
       settings.callers,
@@ -208,6 +214,11 @@
     m_peers_ticked_at = m_node->clock().now;
     m_peers->tick();
   }
+  if (m_node->clock().now - m_settings_read_at >= settings_period) {
+    // The file may change without a signal.
+    m_settings_read_at = m_node->clock().now;
+    reload();
+  }
   if (m_node->closing()) {
     // Every further answer tells its caller to connect elsewhere.
     m_callers->start_closing();
@@ -225,12 +236,32 @@
 }
 
 void routed_daemon::wait_for_signal() {
-  m_signals.async_wait([this](const boost::system::error_code& ec, int) {
-    if (!ec) {
+  m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
+    if (ec) {
+      return;
+    }
+    if (signal == SIGHUP) {
+      reload();
+    } else {
       core().start_draining();
-      wait_for_signal();
     }
+    wait_for_signal();
   });
 }
 
+void routed_daemon::reload() {
+  const routed_settings_result read = m_reread();
+  if (!read.has_value()) {
+    m_log(event_id::settings_unreadable,
+          {{"faults", to_text(read.error(), "settings")}});
+    return;
+  }
+  if (read.value().text == m_settings.text) {
+    return;
+  }
+  m_settings = read.value();
+  core().set_limits(options_for(m_settings));
+  m_log(event_id::settings_reloaded, {});
+}
+
 } // namespace kingcupslip
--- a/src/kingcupslip/daemon/routed_daemon.hpp
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -42,7 +42,11 @@
 
 class routed_daemon {
 public:
-  routed_daemon(const routed_settings& settings, routed_protocol protocol);
+  /// Reads the settings again; called when they may have changed.
+  using settings_source = std::function<routed_settings_result()>;
+
+  routed_daemon(const routed_settings& settings, routed_protocol protocol,
+                settings_source reread);
   ~routed_daemon();
 
   /// Runs until SIGTERM or SIGINT has been handled gracefully.
@@ -56,10 +60,14 @@
                        const answer_sender& send);
   void tick();
   void wait_for_signal();
+  /// Takes over what can change while the process runs: bounds and periods.
+  /// Faulty settings change nothing.
+  void reload();
   routed_node& core();
 
   routed_settings m_settings;
   routed_protocol m_protocol;
+  settings_source m_reread;
   io_loop m_loop;
   boost::asio::steady_timer m_timer;
   boost::asio::signal_set m_signals;
@@ -74,6 +82,7 @@
   std::unique_ptr<http_server> m_announcements;
   std::unique_ptr<http_server> m_metrics;
   instant m_peers_ticked_at{0};
+  instant m_settings_read_at{0};
 };
 
 } // namespace kingcupslip
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -90,6 +90,12 @@
         finally:
             connection.close()
 
+    def names(self):
+        """Names of the events that it has logged."""
+        with open(self.log.name) as lines:
+            return [json.loads(line)["name"] for line in lines
+                    if line.startswith("{") and line.endswith("}\n")]
+
     def check_in(self, **changed):
         body = json.dumps(self.endpoint.check_in(**changed)).encode()
         return self.call(self.control, "POST", "/Instances.Heartbeat/"
@@ -250,6 +256,23 @@
         yield "change after the outage", self.wait(
             lambda: self.ask("/once/a", node=1)[0] == 404)
 
+    def reload(self):
+        """SIGHUP with the same, changed and faulty settings."""
+        node = self.nodes[0]
+        node.process.send_signal(signal.SIGHUP)
+        time.sleep(0.3)
+        yield "same", self.ask("/safe/a")[0]
+        node.settings.write("retry_slack: 20\n")
+        node.settings.flush()
+        node.process.send_signal(signal.SIGHUP)
+        yield "changed", self.wait(lambda: "settings_reloaded" in node.names())
+        node.settings.write("no_such_key: 1\n")
+        node.settings.flush()
+        node.process.send_signal(signal.SIGHUP)
+        yield "faulty", self.wait(
+            lambda: "settings_unreadable" in node.names())
+        yield "still served", self.ask("/safe/a")[0]
+
     def graceful_stop(self):
         """SIGTERM: nothing is cut, and the node says that it goes."""
         node = self.nodes[1]
@@ -266,17 +289,15 @@
         caller.join()
         yield "its request", got[0]
         yield "exit", node.process.wait(10)
-        lines = [json.loads(line) for line in open(node.log.name)
-                 if line.startswith("{")]
-        names = [line["name"] for line in lines]
         yield "logged", [n for n in ("node_started", "table_lost",
                                      "node_draining", "node_stopped")
-                         if n in names]
+                         if n in node.names()]
 
     def run(self):
         failures = 0
         for session in (self.requests, self.faulty_endpoints, self.check_ins,
-                        self.changes, self.outage, self.graceful_stop):
+                        self.reload, self.changes, self.outage,
+                        self.graceful_stop):
             began = time.monotonic()
             text = "".join(f"{k}: {v}\n" for k, v in session())
             failures += not check("adapter_" + session.__name__, text)
