--- a/src/programs/kingcupslip.cpp
+++ b/src/programs/kingcupslip.cpp
@@ -1,5 +1,6 @@
 // The operators' program: contracts, keys, marks, status and the report.
 #include "kingcupslip/cli/admin_client.hpp"
+#include "kingcupslip/cli/explain.hpp"
 #include "kingcupslip/cli/report_view.hpp"
 #include "kingcupslip/cli/yaml_to_json.hpp"
 #include "kingcupslip/version.hpp"
@@ -15,6 +16,7 @@
 #include <random>
 #include <sstream>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -39,6 +41,7 @@
   std::string if_match;
   std::string file;
   std::string name;
+  std::vector<std::string> log_files;
   exit_code code = exit_code::done;
 
   admin_client client() const { return {url, token}; }
@@ -74,6 +77,28 @@
          fields_as_table);
   }
 
+  void explain() {
+    request_explainer e(name);
+    for (const std::string& it : log_files) {
+      std::ifstream in(it);
+      if (!in) {
+        std::cerr << it << ": cannot be read\n";
+        code = exit_code::bad_input;
+        return;
+      }
+      e.read(in);
+    }
+    if (log_files.empty()) {
+      e.read(std::cin);
+    }
+    if (!e.found()) {
+      std::cerr << e.cause() << "\n";
+      code = exit_code::refused;
+      return;
+    }
+    std::cout << (output == "json" ? e.as_json() + "\n" : e.as_text());
+  }
+
   void apply_contract() {
     std::ifstream in(file);
     std::ostringstream text;
@@ -196,6 +221,11 @@
   add_key_commands(app, p);
   add_mark_commands(app, p, "data-centre");
   add_mark_commands(app, p, "target");
+  CLI::App* explain = command(
+      app, "explain", "what became of a request, from the nodes' log lines",
+      "kingcupslip explain 488ea967015bde01 node-*.log", [&p] { p.explain(); });
+  explain->add_option("ID", p.name, "the request's id")->required();
+  explain->add_option("FILE", p.log_files, "logs; standard input if none");
   command(app, "status", "members and where the configuration is in force",
           "kingcupslip status", [&p] { p.get("/v1/status", status_as_table); });
   command(app, "report", "the closing report over the whole fleet",
