--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -1,4 +1,5 @@
 // What a decision and a remembered thing cost: slopes for docs/CAPACITY.md.
+#include "support/routed_fleet.hpp"
 #include "support/virtual_fleet.hpp"
 
 #include "kingcupslip/core/answer_memory.hpp"
@@ -168,6 +169,38 @@
               s / span_s / nodes * 100);
 }
 
+void routed_control_per_node(std::size_t per_data_centre) {
+  routed_fleet f(1);
+  build_routed_fleet(f, per_data_centre);
+  f.run_for(60s);
+  const std::uint64_t bytes = f.bytes_sent;
+  const std::uint64_t calls = f.store_calls;
+  constexpr int span_s = 30;
+  const double s = seconds_of([&] { f.run_for(30s); });
+  const double nodes = static_cast<double>(2 * per_data_centre);
+  std::printf("%3.0f idle routed nodes: %.0f bytes/s sent a node, %.3f store "
+              "calls/s a node, %.3f%% of a core a node\n",
+              nodes, static_cast<double>(f.bytes_sent - bytes) / span_s / nodes,
+              static_cast<double>(f.store_calls - calls) / span_s / nodes,
+              s / span_s / nodes * 100);
+}
+
+void routed_decision_cost() {
+  routed_fleet f(1);
+  build_routed_fleet(f, 2, simple_routes(1e6, 1e6));
+  constexpr int n = 20'000;
+  const std::uint64_t before = allocations;
+  const double s = seconds_of([&] {
+    for (int i = 0; i < n; ++i) {
+      f.request("a1", "/safe/x", "k", [](const outcome&) {});
+      f.run_for(1ms);
+    }
+  });
+  std::printf("routed request through entry, target's node and back, the fakes "
+              "of 4 nodes included: %.0f ns, %.1f allocations\n",
+              s / n * 1e9, static_cast<double>(allocations - before) / n);
+}
+
 } // namespace
 
 int main() {
@@ -178,5 +211,9 @@
   for (const std::size_t n : {2, 4, 8, 16, 32, 64}) {
     control_per_node(n);
   }
+  routed_decision_cost();
+  for (const std::size_t n : {7, 16, 32, 64, 128}) {
+    routed_control_per_node(n);
+  }
   return 0;
 }
--- a/src/kingcupslip/cli/explain.cpp
+++ b/src/kingcupslip/cli/explain.cpp
@@ -131,8 +131,8 @@
 std::string request_explainer::as_text() const {
   std::string out;
   for (const json& it : in_order()) {
-    out += field(it, "time") + " " + field(it, "node") + " " +
-           field(it, "name");
+    out +=
+        field(it, "time") + " " + field(it, "node") + " " + field(it, "name");
     for (auto f_it = it.begin(); f_it != it.end(); ++f_it) {
       const bool shown = f_it.key() == "time" || f_it.key() == "node" ||
                          f_it.key() == "name" || f_it.key() == "event" ||
--- a/tests/support/routed_fleet.cpp
+++ b/tests/support/routed_fleet.cpp
@@ -195,6 +195,7 @@
 void routed_fleet::deliver(const std::string& from, const std::string& to,
                            const wire::payloadUnion& body) {
   const frame_bytes frame = encode_frame(body);
+  bytes_sent += frame.size();
   const std::uint64_t correlation =
       body.type == wire::payload::call ? body.Ascall()->correlation : 0;
   const std::uint64_t sender_life = m_nodes.at(from)->life;
--- a/tests/support/routed_fleet.hpp
+++ b/tests/support/routed_fleet.hpp
@@ -64,6 +64,7 @@
   bool store_down = false;
   std::set<std::string> cut_off; ///< nodes that do not reach the store
   std::uint64_t store_calls = 0;
+  std::uint64_t bytes_sent = 0; ///< between nodes
   bool announcing = true;
   duration cold_left{0};  ///< as targets announce it
   std::size_t slots = 10; ///< as targets announce them
