The throttle counts only failures that come from refused calls

Cause: counting every 5xx answer, the throttle turned requests away after kills and cuts too. Change: a node says in its answer whether its target failed while calls of its own were refused for overload ('starved'); only that counts.

--- a/src/kingcupslip/core/adaptive_throttle.cpp
+++ b/src/kingcupslip/core/adaptive_throttle.cpp
@@ -12,7 +12,7 @@
 constexpr duration half_life = std::chrono::milliseconds(1500);
 constexpr duration age_step = std::chrono::milliseconds(100);
 /// Requests let in for each that succeeds, by rank.
-constexpr std::array<double, priority_count> multiples{2.0, 1.6, 1.15, 1.1};
+constexpr std::array<double, priority_count> multiples{2.0, 1.8, 1.15, 1.15};
 /// Some always enter, to see whether it has become better.
 constexpr double most_rejected = 0.9;
 constexpr double fewest_asked = 10;
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -16,7 +16,6 @@
 constexpr std::chrono::milliseconds longest_return{1000};
 constexpr std::chrono::milliseconds shortest_return{50};
 constexpr std::chrono::milliseconds start_return{500};
-constexpr std::uint16_t internal_error = 500;
 
 std::uint64_t digest_of(const routed_request& r) {
   std::string text = r.method + " " + r.host + r.path + "\n";
@@ -163,11 +162,11 @@
     o.retry_after = std::max(o.retry_after, wait_before_return(*e));
   }
   if (e->throttled_kind && e->job && o.why != reason::cancelled) {
-    const bool failed = o.why == reason::none ? o.status >= internal_error
-                                              : info_of(o.why).overload;
-    // A retry that succeeded still shows that less would be borne.
-    const bool at_once = !failed && o.retries_used == 0;
-    m_throttle.on_end(e->route_name, at_once, m_clock.now);
+    const bool failed = o.starved || info_of(o.why).overload;
+    m_throttle.on_end(e->route_name, !failed, m_clock.now);
+  }
+  if (e->team.empty() && info_of(o.why).overload) {
+    m_parts.local.on_nested_refusal();
   }
   m_counts.on_outcome({e->team, e->route_name}, o);
   log_end(*e, o);
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -41,7 +41,7 @@
   struct parts {
     const desired_state& state;
     dispatcher& dispatch;
-    const target_stage& local;
+    target_stage& local;
     team_quota& quota;
     quarantine& crashes;
     member_table::random_source random;
