--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -263,8 +263,6 @@
     return;
   }
   job->ended = true;
-  // A retry that succeeded still shows that less would be borne.
-  o.starved |= job->fallback && job->fallback->starved;
   if (job->fallback && o.why != reason::none) {
     // The target's own failure says more than a refusal after it.
     o = std::move(*job->fallback);
--- a/src/kingcupslip/core/outcome.hpp
+++ b/src/kingcupslip/core/outcome.hpp
@@ -28,8 +28,6 @@
   std::uint16_t status = 0;
   std::chrono::milliseconds retry_after{0};
   std::uint32_t retries_used = 0;
-  /// The target failed while calls of its own were refused for overload.
-  bool starved = false;
   std::vector<header> headers;
   body_bytes body;
 };
--- a/src/kingcupslip/core/reason.cpp
+++ b/src/kingcupslip/core/reason.cpp
@@ -56,8 +56,6 @@
      false},
     {"too_many_connections", "too many connections are open", 503, true, false,
      false},
-    {"throttled", "too many requests of its route fail at present", 503, true,
-     false, true},
 }};
 
 } // namespace
--- a/src/kingcupslip/core/reason.hpp
+++ b/src/kingcupslip/core/reason.hpp
@@ -43,7 +43,6 @@
   node_unreachable,
   too_slow,
   too_many_connections,
-  throttled,
   count_
 };
 
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -35,7 +35,6 @@
   out.status = o.status;
   out.retry_after_ms = static_cast<std::uint32_t>(o.retry_after.count());
   out.retries_used = o.retries_used;
-  out.starved = o.starved;
   out.headers = to_wire(o.headers);
   out.body = std::move(o.body);
   return out;
@@ -54,7 +53,6 @@
   out.status = reply.status;
   out.retry_after = std::chrono::milliseconds(reply.retry_after_ms);
   out.retries_used = reply.retries_used;
-  out.starved = reply.starved;
   out.headers = from_wire(reply.headers);
   out.body = std::move(reply.body);
   return out;
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -28,7 +28,7 @@
 
 routed_entry::routed_entry(parts p, const clock_reading& clock)
     : m_parts(std::move(p)), m_clock(clock),
-      m_gate(m_parts.quota.source(), clock), m_throttle(m_parts.random) {
+      m_gate(m_parts.quota.source(), clock) {
   m_parts.quota.set_on_grant(
       [this](const std::string& team) { m_gate.on_tokens(team); });
 }
@@ -71,15 +71,6 @@
     finish(e, refusal(reason::quarantined));
     return;
   }
-  // Nested calls belong to work that was let in already.
-  e->throttled_kind = team != nullptr;
-  const priority rank = rank_of_urgency(route->urgency);
-  if (e->throttled_kind &&
-      !m_throttle.admit(e->route_name, rank, m_clock.now)) {
-    e->throttled_kind = false;
-    finish(e, refusal(reason::throttled));
-    return;
-  }
   const bool limited = needs_key && team->rate_per_s > 0;
   if (!limited) {
     pass(e);
@@ -161,13 +152,6 @@
   if (waiting_helps) {
     o.retry_after = std::max(o.retry_after, wait_before_return(*e));
   }
-  if (e->throttled_kind && e->job && o.why != reason::cancelled) {
-    const bool failed = o.starved || info_of(o.why).overload;
-    m_throttle.on_end(e->route_name, !failed, m_clock.now);
-  }
-  if (e->team.empty() && info_of(o.why).overload) {
-    m_parts.local.on_nested_refusal();
-  }
   m_counts.on_outcome({e->team, e->route_name}, o);
   log_end(*e, o);
   e->job.reset();
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -2,7 +2,6 @@
 #ifndef KINGCUPSLIP_CORE_ROUTED_ENTRY_HPP
 #define KINGCUPSLIP_CORE_ROUTED_ENTRY_HPP
 
-#include "kingcupslip/core/adaptive_throttle.hpp"
 #include "kingcupslip/core/desired_state.hpp"
 #include "kingcupslip/core/dispatcher.hpp"
 #include "kingcupslip/core/outcome.hpp"
@@ -41,7 +40,7 @@
   struct parts {
     const desired_state& state;
     dispatcher& dispatch;
-    target_stage& local;
+    const target_stage& local;
     team_quota& quota;
     quarantine& crashes;
     member_table::random_source random;
@@ -69,8 +68,7 @@
     std::string service;
     std::string team; ///< empty without a key
     bool counted_in_quota = false;
-    bool throttled_kind = false; ///< its end counts for the throttle
-    bool gone = false;           ///< its caller went away
+    bool gone = false; ///< its caller went away
     instant arrived{0};
     instant deadline{0};
     std::shared_ptr<dispatch_job> job;
@@ -89,7 +87,6 @@
   parts m_parts;
   const clock_reading& m_clock;
   rate_gate m_gate;
-  adaptive_throttle m_throttle;
   tally m_counts;
   /// Smooth weighted round robin: by route, what each service is owed.
   std::map<std::string, std::map<std::string, double>> m_owed;
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -23,8 +23,6 @@
 constexpr duration usual_latency = std::chrono::milliseconds(100);
 /// Starts that a cold target gets in a burst.
 constexpr double cold_burst = 3;
-constexpr duration nested_refusal_counts = std::chrono::milliseconds(100);
-constexpr std::uint16_t internal_error = 500;
 constexpr std::uint16_t service_unavailable = 503;
 constexpr std::uint16_t too_many_requests = 429;
 constexpr std::chrono::milliseconds shed_retry_after{1000};
@@ -414,8 +412,6 @@
   outcome out;
   out.ran = verdict::ran;
   out.status = result.status;
-  out.starved = result.status >= internal_error &&
-                m_clock.now - m_nested_refusal_at < nested_refusal_counts;
   out.headers = std::move(result.headers);
   out.body = std::move(result.body);
   return out;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -129,9 +129,6 @@
   /// Requests a second that a cold target bears; 0: no limit.
   void set_cold_rate(double per_s);
 
-  /// A call that the target made was refused for overload.
-  void on_nested_refusal() { m_nested_refusal_at = m_clock.now; }
-
   /// Refuses queued work of withdrawn keys.
   void refuse_keys(const std::vector<std::string>& key_ids);
 
@@ -226,7 +223,6 @@
   instant m_cold_until{0};
   token_bucket m_cold_starts;
   instant m_announced_at{0};
-  instant m_nested_refusal_at{0};
   bool m_ready = false;
   bool m_draining = false;
   bool m_out = false;
