--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -155,14 +155,16 @@
         return n.call(n.callers, method, path, body, headers)
 
     def seen(self):
-        return [s for n in self.nodes for s in n.endpoint.seen]
+        """What the endpoints ran, in order of time."""
+        return sorted((s for n in self.nodes for s in n.endpoint.seen),
+                      key=lambda s: s[4])
 
     def requests(self):
         """Requests through the adapter, good and refused."""
         status, headers, body = self.ask("/safe/a?b=c", body=b"hello")
         yield "answer", f"{status} {body.decode()}"
         yield "signature", headers.get("X-Kingcupslip-Server-Signature")
-        method, path, fields, got = self.seen()[-1]
+        method, path, fields, got = self.seen()[-1][:4]
         yield "at the endpoint", f"{method} {path} {got.decode()}"
         yield "key passed on", "x-api-key" in fields
         yield "tenant", fields.get("x-kingcupslip-tenant")
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -210,7 +210,8 @@
         if fields.get("x-kingcupslip-expected-instance") != self.instance:
             call.reply(421, b"", echo)
             return
-        self.seen.append((call.command, call.path, fields, body))
+        self.seen.append((call.command, call.path, fields, body,
+                          time.monotonic()))
         if self.delay:
             time.sleep(self.delay)
         echo.append(("X-Kingcupslip-Server-Signature", "signed"))
