A stopping node refuses what it cannot finish

Ruled out: the length of the drain. Change: once callers have had time to turn away, new requests are refused as not run, with a time to come back. The unit test failed before.

--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t origin_mask = 0xffffff;
 /// Readiness is asked once a second, and two misses turn callers away.
 constexpr duration callers_turn_away = std::chrono::milliseconds(3000);
+constexpr std::chrono::milliseconds closing_return{200};
 /// Time for goodbyes to get out.
 constexpr duration leave_span = std::chrono::milliseconds(200);
 /// What is left of the time to be gone in when the last answers are cut.
@@ -76,6 +77,11 @@
 }
 
 void routed_node::on_request(routed_request request, outcome_handler handler) {
+  if (closing()) {
+    // It could not be finished before the process has to be gone.
+    handler(refusal(reason::draining, verdict::not_run, closing_return));
+    return;
+  }
   m_entry.on_request(std::move(request), std::move(handler));
 }
 
--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -411,6 +411,26 @@
   CHECK(f.at("a2").drained());
 }
 
+TEST(routed_node, a_stopping_node_takes_nothing_that_it_cannot_finish) {
+  routed_fleet f(24);
+  build_routed_fleet(f, 2);
+  f.at("a1").start_draining();
+  f.run_for(milliseconds(2000));
+  LONGS_EQUAL(200, f.ask("a1", "/once/x", "k").status);
+  f.request(
+      "a1", "/once/x", "k", [](const outcome&) {}, seconds(4));
+  f.target("a2").settings().service = seconds(3);
+  f.target("b1").settings().service = seconds(3);
+  f.target("b2").settings().service = seconds(3);
+  f.request(
+      "a1", "/once/x", "k", [](const outcome&) {}, seconds(4));
+  f.run_for(milliseconds(1200));
+  const outcome o = f.ask("a1", "/once/x", "k", seconds(4));
+  CHECK(reason::draining == o.why);
+  CHECK(verdict::not_run == o.ran);
+  CHECK(o.retry_after.count() > 0);
+}
+
 // clang-format off
 TEST_GROUP(team_quota){
 };
