One inbox of inbound calls for both nodes; digests and settings read once

Change: core/call_inbox; the digest is kept with the request; settings are compared as text before they are parsed; routed_entry::start_closing; the answer's `moved` is passed on.

--- /dev/null
+++ b/src/kingcupslip/core/call_inbox.hpp
@@ -0,0 +1,51 @@
+// Calls from other nodes, between their arrival and their reply.
+#ifndef KINGCUPSLIP_CORE_CALL_INBOX_HPP
+#define KINGCUPSLIP_CORE_CALL_INBOX_HPP
+
+#include "kingcupslip/core/message_sender.hpp"
+#include "kingcupslip/core/recent_calls.hpp"
+#include "kingcupslip/core/target_stage.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace kingcupslip {
+
+/// Starts each call once, answers it once with the load of the target
+/// beside this node, and cancels what its sender gives up.
+class call_inbox {
+public:
+  /// How a call that goes on is stopped.
+  using canceller = std::function<void()>;
+  /// Starts a call; `handler` may run before it returns.
+  using starter = std::function<canceller(wire::callT call, instant deadline,
+                                          outcome_handler handler)>;
+
+  call_inbox(starter start, const target_stage& local, message_sender send,
+             const clock_reading& clock);
+
+  void on_call(const std::string& from, wire::callT call);
+  void on_cancel(const std::string& from, const wire::cancelT& m);
+
+  bool empty() const { return m_open.empty(); }
+
+private:
+  /// Sender and the correlation that it chose.
+  using call_id = std::pair<std::string, std::uint64_t>;
+
+  void reply(const call_id& id, outcome o);
+
+  starter m_start;
+  const target_stage& m_local;
+  message_sender m_send;
+  const clock_reading& m_clock;
+  std::map<call_id, canceller> m_open;
+  recent_calls m_recent;
+};
+
+} // namespace kingcupslip
+
+#endif
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -82,7 +82,13 @@
                                  m_lease, m_sweeper, m_slots, m_owner, m_shares,
                                  m_crashes, m_entry.counts(), m_hooks.table,
                                  m_hooks.send, m_hooks.random, m_hooks.log},
-              m_clock) {}
+              m_clock),
+      m_inbox(
+          [this](wire::callT call, instant deadline,
+                 const outcome_handler& handler) {
+            return start_call(std::move(call), deadline, handler);
+          },
+          m_local, m_hooks.send, m_clock) {}
 
 void node::tick() {
   m_agent.tick();
@@ -116,13 +122,13 @@
 void node::on_message(const std::string& from, wire::payloadUnion& body) {
   switch (body.type) {
   case wire::payload::call:
-    on_call(from, std::move(*body.Ascall()));
+    m_inbox.on_call(from, std::move(*body.Ascall()));
     break;
   case wire::payload::reply:
     on_reply(from, *body.Asreply());
     break;
   case wire::payload::cancel:
-    on_cancel(from, *body.Ascancel());
+    m_inbox.on_cancel(from, *body.Ascancel());
     break;
   case wire::payload::ping:
     m_agent.on_ping(from, *body.Asping());
@@ -262,51 +268,26 @@
   return m == nullptr ? std::string() : m->info.address;
 }
 
-void node::on_call(const std::string& from, wire::callT call) {
-  const std::uint64_t correlation = call.correlation;
-  const instant deadline = m_clock.now + duration(call.time_left_us);
-  const std::pair<std::string, std::uint64_t> id{from, correlation};
-  const outcome_handler handler = [this, id](outcome o) {
-    m_inbound.erase(id);
-    send_reply(id.first, id.second, std::move(o));
-  };
-  if (!m_recent.first_sight(from, correlation)) {
-    return;
-  }
-  m_inbound.emplace(id, inbound_call{});
+call_inbox::canceller node::start_call(wire::callT call, instant deadline,
+                                       const outcome_handler& handler) {
   if (call.kind == wire::call_kind::own) {
-    const std::shared_ptr<dispatch_job> job =
+    const std::weak_ptr<dispatch_job> owned =
         m_owner.handle(std::move(call), deadline, handler);
-    const auto it = m_inbound.find(id);
-    if (it != m_inbound.end()) {
-      it->second.job = job;
-    }
-    return;
+    return [this, owned] {
+      if (const std::shared_ptr<dispatch_job> job = owned.lock()) {
+        m_dispatch.cancel(job);
+      }
+    };
   }
   const bool fenced =
       call.epoch != 0 && !m_local.accept_epoch(call.slot, call.epoch);
   if (fenced) {
     handler(refusal(reason::owner_unreachable, verdict::may_have_run));
-    return;
+    return nullptr;
   }
   const std::uint64_t ticket =
       m_local.submit(std::move(call), deadline, handler);
-  const auto it = m_inbound.find(id);
-  if (it != m_inbound.end()) {
-    it->second.ticket = ticket;
-  }
-}
-
-void node::on_cancel(const std::string& from, const wire::cancelT& m) {
-  const auto it = m_inbound.find({from, m.correlation});
-  if (it == m_inbound.end()) {
-    return;
-  }
-  if (const std::shared_ptr<dispatch_job> job = it->second.job.lock()) {
-    m_dispatch.cancel(job);
-  } else {
-    m_local.cancel(it->second.ticket);
-  }
+  return [this, ticket] { m_local.cancel(ticket); };
 }
 
 void node::on_reply(const std::string& from, wire::replyT& m) {
@@ -353,17 +334,6 @@
   pull.handler(std::move(pull.report));
 }
 
-void node::send_reply(const std::string& to, std::uint64_t correlation,
-                      outcome o) {
-  wire::replyT reply = to_reply(correlation, std::move(o));
-  reply.limit = static_cast<float>(m_local.limit());
-  reply.in_flight = static_cast<std::uint32_t>(m_local.in_flight());
-  reply.queued = static_cast<std::uint32_t>(m_local.queued());
-  wire::payloadUnion body;
-  body.Set(std::move(reply));
-  m_hooks.send(to, std::move(body));
-}
-
 void node::tick_drain() {
   if (!m_drain_began || m_left) {
     return;
@@ -373,7 +343,7 @@
     m_entry.start_draining();
   }
   const bool settled = since >= drain_grace && m_entry.in_progress() == 0 &&
-                       m_local.idle() && m_inbound.empty() &&
+                       m_local.idle() && m_inbox.empty() &&
                        m_agent.handed_over();
   if (!m_leaving && (settled || since >= m_options.drain_limit)) {
     m_leaving = true;
--- a/src/kingcupslip/core/node.hpp
+++ b/src/kingcupslip/core/node.hpp
@@ -6,7 +6,7 @@
 #include "kingcupslip/core/entry_stage.hpp"
 #include "kingcupslip/core/fleet_agent.hpp"
 #include "kingcupslip/core/node_identity.hpp"
-#include "kingcupslip/core/recent_calls.hpp"
+#include "kingcupslip/core/call_inbox.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -94,22 +94,15 @@
     std::function<void(fleet_report)> handler;
   };
 
-  void on_call(const std::string& from, wire::callT call);
-  void on_cancel(const std::string& from, const wire::cancelT& m);
+  call_inbox::canceller start_call(wire::callT call, instant deadline,
+                                   const outcome_handler& handler);
   void on_reply(const std::string& from, wire::replyT& m);
   void on_report_pull(const std::string& from, const wire::report_pullT& m);
   void on_report_rows(const std::string& from, const wire::report_rowsT& m);
   void finish_report(std::uint64_t id);
-  void send_reply(const std::string& to, std::uint64_t correlation, outcome o);
   void tick_drain();
   void tick_config();
 
-  /// A call from a peer, by which it may be cancelled.
-  struct inbound_call {
-    std::uint64_t ticket = 0;
-    std::weak_ptr<dispatch_job> job;
-  };
-
   node_options m_options;
   node_hooks m_hooks;
   clock_reading m_clock;
@@ -127,8 +120,7 @@
   owner_stage m_owner;
   entry_stage m_entry;
   fleet_agent m_agent;
-  std::map<std::pair<std::string, std::uint64_t>, inbound_call> m_inbound;
-  recent_calls m_recent;
+  call_inbox m_inbox;
   std::map<std::uint64_t, report_pull> m_reports;
   std::uint64_t m_next_report = 0;
   std::uint64_t m_logged_sequence = 0;
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds longest_return{1000};
 constexpr std::chrono::milliseconds shortest_return{50};
 constexpr std::chrono::milliseconds start_return{500};
+constexpr std::chrono::milliseconds closing_return{200};
 
 std::uint64_t digest_of(const routed_request& r) {
   std::string text = r.method + " " + r.host + r.path + "\n";
@@ -41,6 +42,10 @@
   e->request = std::move(request);
   e->handler = std::move(handler);
   ++m_in_progress;
+  if (m_closing) {
+    finish(e, refusal(reason::draining, verdict::not_run, closing_return));
+    return;
+  }
   if (table == nullptr) {
     finish(e, refusal(reason::starting, verdict::not_run, start_return));
     return;
@@ -67,7 +72,8 @@
   if (e->request.connection != 0) {
     m_by_connection[e->request.connection] = e;
   }
-  if (m_parts.crashes.condemned(digest_of(e->request), m_clock.now)) {
+  e->digest = digest_of(e->request);
+  if (m_parts.crashes.condemned(e->digest, m_clock.now)) {
     finish(e, refusal(reason::quarantined));
     return;
   }
@@ -218,7 +224,7 @@
   call.retries = route.most_targets > 1 ? route.most_targets - 1 : 0;
   call.idempotent = route.idempotent;
   call.patient = true;
-  call.digest = digest_of(e.request);
+  call.digest = e.digest;
   call.headers = to_wire(e.request.headers);
   call.body = std::move(e.request.body);
   return call;
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -57,6 +57,10 @@
 
   void tick() { m_gate.tick(); }
 
+  /// Refuses everything new: it could not be finished before the process
+  /// has to be gone.
+  void start_closing() { m_closing = true; }
+
   std::size_t in_progress() const { return m_in_progress; }
   const tally& counts() const { return m_counts; }
 
@@ -67,6 +71,7 @@
     std::string route_name;
     std::string service;
     std::string team; ///< empty without a key
+    std::uint64_t digest = 0; ///< equal for requests that are alike
     bool counted_in_quota = false;
     bool gone = false; ///< its caller went away
     instant arrived{0};
@@ -92,6 +97,7 @@
   std::map<std::string, std::map<std::string, double>> m_owed;
   std::unordered_map<std::uint64_t, std::weak_ptr<entered>> m_by_connection;
   std::size_t m_in_progress = 0;
+  bool m_closing = false;
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -13,7 +13,6 @@
 constexpr std::uint64_t origin_mask = 0xffffff;
 /// Readiness is asked once a second, and two misses turn callers away.
 constexpr duration callers_turn_away = std::chrono::milliseconds(3000);
-constexpr std::chrono::milliseconds closing_return{200};
 /// Time for goodbyes to get out.
 constexpr duration leave_span = std::chrono::milliseconds(200);
 /// What is left of the time to be gone in when the last answers are cut.
@@ -59,7 +58,14 @@
       m_quota(m_members, m_hooks.send, m_hooks.random),
       m_entry(routed_entry::parts{m_state, m_dispatch, m_local, m_quota,
                                   m_crashes, m_hooks.random, m_hooks.log},
-              m_clock) {
+              m_clock),
+      m_inbox(
+          [this](wire::callT call, instant deadline, outcome_handler handler) {
+            const std::uint64_t ticket = m_local.submit(
+                std::move(call), deadline, std::move(handler));
+            return [this, ticket] { m_local.cancel(ticket); };
+          },
+          m_local, m_hooks.send, m_clock) {
   m_state.set_on_change([this] { apply_desired_state(); });
 }
 
@@ -77,11 +83,6 @@
 }
 
 void routed_node::on_request(routed_request request, outcome_handler handler) {
-  if (closing()) {
-    // It could not be finished before the process has to be gone.
-    handler(refusal(reason::draining, verdict::not_run, closing_return));
-    return;
-  }
   m_entry.on_request(std::move(request), std::move(handler));
 }
 
@@ -93,20 +94,16 @@
                              wire::payloadUnion& body) {
   switch (body.type) {
   case wire::payload::call:
-    on_call(from, std::move(*body.Ascall()));
+    m_inbox.on_call(from, std::move(*body.Ascall()));
     break;
   case wire::payload::reply:
     m_dispatch.on_load(from, *body.Asreply());
     m_members.on_heard(from, m_clock.now);
     m_calls.on_reply(from, *body.Asreply());
     break;
-  case wire::payload::cancel: {
-    const auto it = m_inbound.find({from, body.Ascancel()->correlation});
-    if (it != m_inbound.end()) {
-      m_local.cancel(it->second);
-    }
+  case wire::payload::cancel:
+    m_inbox.on_cancel(from, *body.Ascancel());
     break;
-  }
   case wire::payload::gossip:
     m_gossip.on_gossip(from, *body.Asgossip());
     break;
@@ -190,36 +187,6 @@
   return m == nullptr ? std::string() : m->info.address;
 }
 
-void routed_node::on_call(const std::string& from, wire::callT call) {
-  const std::uint64_t correlation = call.correlation;
-  if (!m_recent.first_sight(from, correlation)) {
-    return;
-  }
-  const instant deadline = m_clock.now + duration(call.time_left_us);
-  const std::pair<std::string, std::uint64_t> id{from, correlation};
-  m_inbound.emplace(id, 0);
-  const std::uint64_t ticket =
-      m_local.submit(std::move(call), deadline, [this, id](outcome o) {
-        m_inbound.erase(id);
-        send_reply(id.first, id.second, std::move(o));
-      });
-  const auto it = m_inbound.find(id);
-  if (it != m_inbound.end()) {
-    it->second = ticket;
-  }
-}
-
-void routed_node::send_reply(const std::string& to, std::uint64_t correlation,
-                             outcome o) {
-  wire::replyT reply = to_reply(correlation, std::move(o));
-  reply.limit = static_cast<float>(m_local.limit());
-  reply.in_flight = static_cast<std::uint32_t>(m_local.in_flight());
-  reply.queued = static_cast<std::uint32_t>(m_local.queued());
-  wire::payloadUnion body;
-  body.Set(std::move(reply));
-  m_hooks.send(to, std::move(body));
-}
-
 void routed_node::apply_desired_state() {
   const route_table* table = m_state.routes();
   if (table != nullptr) {
@@ -253,6 +220,9 @@
   if (!m_drain_began || m_left) {
     return;
   }
+  if (closing()) {
+    m_entry.start_closing();
+  }
   const duration since = m_clock.now - m_drain_at;
   const bool idle = m_entry.in_progress() == 0 && m_local.idle();
   const bool out_of_time = since >= m_options.drain_limit - exit_margin;
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -2,8 +2,8 @@
 #ifndef KINGCUPSLIP_CORE_ROUTED_NODE_HPP
 #define KINGCUPSLIP_CORE_ROUTED_NODE_HPP
 
+#include "kingcupslip/core/call_inbox.hpp"
 #include "kingcupslip/core/gossip_agent.hpp"
-#include "kingcupslip/core/recent_calls.hpp"
 #include "kingcupslip/core/routed_entry.hpp"
 
 #include <cstdint>
@@ -80,8 +80,6 @@
   std::string address_of(const std::string& peer);
 
 private:
-  void on_call(const std::string& from, wire::callT call);
-  void send_reply(const std::string& to, std::uint64_t correlation, outcome o);
   void apply_desired_state();
   /// Tells the others what the target beside this node takes.
   void follow_target();
@@ -101,8 +99,7 @@
   dispatcher m_dispatch;
   team_quota m_quota;
   routed_entry m_entry;
-  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_inbound;
-  recent_calls m_recent;
+  call_inbox m_inbox;
   std::size_t m_fleet_size = 0;
   instant m_drain_at{0};
   instant m_leave_at{0};
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -121,7 +121,7 @@
   if (m_suspect_run == run_id) {
     m_suspect_run = 0;
   }
-  outcome o = judge(r, std::move(result));
+  outcome o = judge(r, std::move(result), moved);
   o.retries_used = m_spans.close(r.span);
   r.handler(std::move(o));
   start_waiting();
@@ -382,7 +382,8 @@
   m_crashes.on_completed(r.digest);
 }
 
-outcome target_stage::judge(const run& r, target_result result) const {
+outcome target_stage::judge(const run& r, target_result result,
+                            bool moved) const {
   switch (result.end) {
   case target_end::not_connected:
     return refusal(reason::target_unreachable);
@@ -396,7 +397,7 @@
   case target_end::answered:
     break;
   }
-  if (m_options.protocol.said_moved && m_options.protocol.said_moved(result)) {
+  if (moved) {
     return refusal(reason::no_target, verdict::not_run, shed_retry_after);
   }
   if (target_shed(result)) {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -181,7 +181,8 @@
   target_request to_target(const wire::callT& request, std::uint64_t span,
                            duration time_left) const;
   void learn(const run& r, const target_result& result);
-  outcome judge(const run& r, target_result result) const;
+  /// `moved`: another target has the address and did not run it.
+  outcome judge(const run& r, target_result result, bool moved) const;
   void log_failed_run(const run& r, const target_result& result, bool moved);
   void note_loss(std::uint64_t run_id);
   void settle_loss(bool crashed);
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -28,7 +28,8 @@
 routed_daemon::routed_daemon(const routed_settings& settings,
                              routed_protocol protocol, settings_source reread)
     : m_settings(settings), m_protocol(std::move(protocol)),
-      m_reread(std::move(reread)), m_timer(m_loop),
+      m_reread(std::move(reread)), m_settings_text(settings.text),
+      m_timer(m_loop),
       m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
       m_log(make_event_log(settings.log, settings.node)),
       m_store(m_loop, endpoint_of(settings.store)),
@@ -250,15 +251,21 @@
 }
 
 void routed_daemon::reload() {
-  const routed_settings_result read = m_reread();
+  const std::optional<std::string> text = m_reread();
+  if (!text) {
+    m_log(event_id::settings_unreadable, {{"faults", "file cannot be read"}});
+    return;
+  }
+  if (*text == m_settings_text) {
+    return;
+  }
+  m_settings_text = *text;
+  const routed_settings_result read = parse_routed_settings(*text);
   if (!read.has_value()) {
     m_log(event_id::settings_unreadable,
           {{"faults", to_text(read.error(), "settings")}});
     return;
   }
-  if (read.value().text == m_settings.text) {
-    return;
-  }
   m_settings = read.value();
   core().set_limits(options_for(m_settings));
   m_log(event_id::settings_reloaded, {});
--- a/src/kingcupslip/daemon/routed_daemon.hpp
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -42,8 +42,8 @@
 
 class routed_daemon {
 public:
-  /// Reads the settings again; called when they may have changed.
-  using settings_source = std::function<routed_settings_result()>;
+  /// Reads the text of the settings again; null where it cannot be read.
+  using settings_source = std::function<std::optional<std::string>()>;
 
   routed_daemon(const routed_settings& settings, routed_protocol protocol,
                 settings_source reread);
@@ -68,6 +68,7 @@
   routed_settings m_settings;
   routed_protocol m_protocol;
   settings_source m_reread;
+  std::string m_settings_text; ///< as it was read last
   io_loop m_loop;
   boost::asio::steady_timer m_timer;
   boost::asio::signal_set m_signals;
