--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -72,15 +72,20 @@
   }
 
   void start() {
+    m_began = read_clocks().now;
     m_timer.expires_after(m_time_left);
     const std::shared_ptr<http_exchange> self = shared_from_this();
     m_timer.async_wait([self](const error_code& ec) {
       if (!ec) {
+        if (self->m_reused) {
+          self->m_client.on_silence(self->m_began);
+        }
         self->cancel();
       }
     });
     m_socket = m_client.take_idle();
     if (m_socket) {
+      m_reused = true;
       write();
       return;
     }
@@ -188,6 +193,8 @@
   boost::beast::flat_buffer m_buffer;
   std::optional<http::response_parser<byte_body>> m_parser;
   header m_echoed;
+  instant m_began{0};
+  bool m_reused = false;
   bool m_written = false;
 };
 
@@ -238,10 +245,16 @@
 }
 
 void http_client::keep(std::shared_ptr<tcp::socket> socket, duration life) {
-  m_idle.push_front({std::move(socket), read_clocks().now + life});
+  const instant now = read_clocks().now;
+  m_idle.push_front({std::move(socket), now, now + life});
   if (m_idle.size() > most_idle) {
     m_idle.pop_back();
   }
 }
 
+void http_client::on_silence(instant began) {
+  m_idle.remove_if(
+      [began](const idle_connection& c) { return c.since < began; });
+}
+
 } // namespace kingcupslip
--- a/src/kingcupslip/net/http_client.hpp
+++ b/src/kingcupslip/net/http_client.hpp
@@ -43,12 +43,16 @@
   friend class http_exchange;
   struct idle_connection {
     std::shared_ptr<boost::asio::ip::tcp::socket> socket;
+    instant since{0};
     instant until{0};
   };
 
   std::shared_ptr<boost::asio::ip::tcp::socket> take_idle();
   void keep(std::shared_ptr<boost::asio::ip::tcp::socket> socket,
             duration life);
+  /// A request that began then got no answer: connections that have been
+  /// idle for longer may have gone silent just the same.
+  void on_silence(instant began);
 
   io_loop& m_loop;
   boost::asio::ip::tcp::endpoint m_endpoint;
