Requests give way by rank where a service below is overloaded

Change: replies say that a run failed after a refused nested call, hop by hop up to the node beside the target of the caller's request. downstream_limit there cuts that route's rate by the part of its runs that failed so; less urgent routes at once, urgent ones if it goes on. docs/design/downstream.md.

--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -16,6 +16,8 @@
       {event_id::target_crashed, "target_crashed", event_level::warning},
       {event_id::request_quarantined, "request_quarantined",
        event_level::warning},
+      {event_id::route_limited, "route_limited", event_level::warning},
+      {event_id::route_unlimited, "route_unlimited", event_level::info},
       {event_id::member_joined, "member_joined", event_level::info},
       {event_id::member_suspected, "member_suspected", event_level::warning},
       {event_id::member_gone, "member_gone", event_level::warning},
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -24,6 +24,8 @@
   target_silent = 201,
   target_crashed = 202,
   request_quarantined = 203,
+  route_limited = 204,
+  route_unlimited = 205,
   member_joined = 300,
   member_suspected = 301,
   member_gone = 302,
--- a/src/kingcupslip/core/outcome.hpp
+++ b/src/kingcupslip/core/outcome.hpp
@@ -28,6 +28,8 @@
   std::uint16_t status = 0;
   std::chrono::milliseconds retry_after{0};
   std::uint32_t retries_used = 0;
+  /// The run failed after a nested call of it was refused for overload.
+  bool overload_below = false;
   std::vector<header> headers;
   body_bytes body;
 };
--- a/src/kingcupslip/core/reason.cpp
+++ b/src/kingcupslip/core/reason.cpp
@@ -56,6 +56,8 @@
      false},
     {"too_many_connections", "too many connections are open", 503, true, false,
      false},
+    {"overloaded_below", "services that the request needs are overloaded", 503,
+     true, false, true},
 }};
 
 } // namespace
--- a/src/kingcupslip/core/reason.hpp
+++ b/src/kingcupslip/core/reason.hpp
@@ -43,6 +43,7 @@
   node_unreachable,
   too_slow,
   too_many_connections,
+  overloaded_below,
   count_
 };
 
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -35,6 +35,7 @@
   out.status = o.status;
   out.retry_after_ms = static_cast<std::uint32_t>(o.retry_after.count());
   out.retries_used = o.retries_used;
+  out.overload_below = o.overload_below;
   out.headers = to_wire(o.headers);
   out.body = std::move(o.body);
   return out;
@@ -53,6 +54,7 @@
   out.status = reply.status;
   out.retry_after = std::chrono::milliseconds(reply.retry_after_ms);
   out.retries_used = reply.retries_used;
+  out.overload_below = reply.overload_below;
   out.headers = from_wire(reply.headers);
   out.body = std::move(reply.body);
   return out;
@@ -87,6 +89,7 @@
   out.host = c.host;
   out.request_id = c.request_id;
   out.caller_service = c.caller_service;
+  out.route = c.route;
   return out;
 }
 
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -65,6 +65,7 @@
     return;
   }
   e->team = team == nullptr ? "" : team->name;
+  e->nested = team == nullptr && !table->teams().empty();
   const std::chrono::milliseconds left =
       std::min(e->request.time_left.value_or(route->timeout), route->timeout);
   e->deadline = m_clock.now + left;
@@ -158,6 +159,9 @@
   if (waiting_helps) {
     o.retry_after = std::max(o.retry_after, wait_before_return(*e));
   }
+  if (e->nested && (info_of(o.why).overload || o.overload_below)) {
+    m_parts.local.on_nested_overload();
+  }
   m_counts.on_outcome({e->team, e->route_name}, o);
   log_end(*e, o);
   e->job.reset();
@@ -217,6 +221,7 @@
   call.method = e.request.method;
   call.request_id = e.request.id;
   call.caller_service = m_parts.local.service();
+  call.route = e.nested ? "" : route.name;
   call.team = e.team;
   const std::uint32_t urgency =
       team != nullptr && team->urgency ? *team->urgency : route.urgency;
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -40,7 +40,7 @@
   struct parts {
     const desired_state& state;
     dispatcher& dispatch;
-    const target_stage& local;
+    target_stage& local;
     team_quota& quota;
     quarantine& crashes;
     member_table::random_source random;
@@ -71,6 +71,9 @@
     std::string route_name;
     std::string service;
     std::string team; ///< empty without a key
+    /// Its answer goes to the target beside this node, as far as is known:
+    /// where callers have keys, only targets come without one.
+    bool nested = false;
     std::uint64_t digest = 0; ///< equal for requests that are alike
     bool counted_in_quota = false;
     bool gone = false; ///< its caller went away
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -23,6 +23,7 @@
 constexpr duration usual_latency = std::chrono::milliseconds(100);
 /// Starts that a cold target gets in a burst.
 constexpr double cold_burst = 3;
+constexpr std::uint16_t internal_error = 500;
 constexpr std::uint16_t service_unavailable = 503;
 constexpr std::uint16_t too_many_requests = 429;
 constexpr std::chrono::milliseconds shed_retry_after{1000};
@@ -51,6 +52,14 @@
                            const clock_reading& clock, quarantine& crashes)
     : m_options(std::move(options)), m_hooks(std::move(hooks)), m_clock(clock),
       m_crashes(crashes), m_limit(m_options.most_in_flight),
+      m_downstream([this](const std::string& route, double rate_per_s,
+                          double failed) {
+        m_hooks.log(rate_per_s > 0 ? event_id::route_limited
+                                   : event_id::route_unlimited,
+                    {{"route", route},
+                     {"rate_per_s", std::to_string(rate_per_s)},
+                     {"failed_part", std::to_string(failed)}});
+      }),
       m_service(m_options.service) {
   if (!m_options.protocol.said_not_run) {
     m_options.protocol.said_not_run = own_not_run;
@@ -123,6 +132,10 @@
   }
   outcome o = judge(r, std::move(result), moved);
   o.retries_used = m_spans.close(r.span);
+  o.overload_below = failed_below(r, o);
+  if (!r.route.empty() && !r.cancelled) {
+    m_downstream.on_end(r.route, r.rank, o.overload_below, m_clock.now);
+  }
   r.handler(std::move(o));
   start_waiting();
 }
@@ -238,7 +251,7 @@
 }
 
 std::optional<reason> target_stage::refuse_at_once(const wire::callT& request,
-                                                   instant deadline) const {
+                                                   instant deadline) {
   if (m_draining || m_target_draining || m_out) {
     return reason::draining;
   }
@@ -260,6 +273,12 @@
   if (too_late) {
     return reason::shed;
   }
+  const bool limited =
+      !request.route.empty() &&
+      !m_downstream.admit(request.route, rank_of(request), m_clock.now);
+  if (limited) {
+    return reason::overloaded_below;
+  }
   return std::nullopt;
 }
 
@@ -295,6 +314,8 @@
   run r;
   r.ticket = ticket;
   r.request_id = call.request.request_id;
+  r.route = call.request.route;
+  r.rank = rank_of(call.request);
   r.digest = call.request.digest;
   r.span = placement_hash(m_options.service + std::to_string(id) + "/" +
                           std::to_string(m_clock.wall.count()));
@@ -418,6 +439,11 @@
   return out;
 }
 
+bool target_stage::failed_below(const run& r, const outcome& o) const {
+  return o.why == reason::none && o.status >= internal_error &&
+         m_nested_overload_at >= r.began;
+}
+
 void target_stage::log_failed_run(const run& r, const target_result& result,
                                   bool moved) {
   const char* how = moved                                     ? "moved"
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -4,6 +4,7 @@
 
 #include "kingcupslip/core/admission_queue.hpp"
 #include "kingcupslip/core/concurrency_limit.hpp"
+#include "kingcupslip/core/downstream_limit.hpp"
 #include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/outcome.hpp"
 #include "kingcupslip/core/pending_calls.hpp"
@@ -124,6 +125,10 @@
   /// Coming back in begins like a cold start.
   void set_out(bool out);
 
+  /// A call that the target made was refused for overload, here or further
+  /// down.
+  void on_nested_overload() { m_nested_overload_at = m_clock.now; }
+
   /// Treats the target as cold until its next announcement.
   void assume_cold(duration span);
   /// Requests a second that a cold target bears; 0: no limit.
@@ -157,6 +162,8 @@
   struct run {
     std::uint64_t ticket = 0;
     std::string request_id;
+    std::string route; ///< empty for calls that targets make
+    priority rank = priority::normal;
     std::uint64_t digest = 0;
     std::uint64_t span = 0;
     instant began{0};
@@ -173,7 +180,7 @@
   };
 
   std::optional<reason> refuse_at_once(const wire::callT& request,
-                                       instant deadline) const;
+                                       instant deadline);
   void start(std::uint64_t ticket, held_call call);
   void start_waiting();
   void shed(const std::vector<shed_request>& gone);
@@ -183,6 +190,8 @@
   void learn(const run& r, const target_result& result);
   /// `moved`: another target has the address and did not run it.
   outcome judge(const run& r, target_result result, bool moved) const;
+  /// Whether a run failed for want of a nested call.
+  bool failed_below(const run& r, const outcome& o) const;
   void log_failed_run(const run& r, const target_result& result, bool moved);
   void note_loss(std::uint64_t run_id);
   void settle_loss(bool crashed);
@@ -205,6 +214,7 @@
   const clock_reading& m_clock;
   quarantine& m_crashes;
   concurrency_limit m_limit;
+  downstream_limit m_downstream;
   admission_queue m_queue;
   span_budget m_spans;
   std::unordered_map<std::uint64_t, held_call> m_held;
@@ -224,6 +234,7 @@
   instant m_cold_until{0};
   token_bucket m_cold_starts;
   instant m_announced_at{0};
+  instant m_nested_overload_at{-1};
   bool m_ready = false;
   bool m_draining = false;
   bool m_out = false;
