--- a/src/kingcupslip/core/node.hpp
+++ b/src/kingcupslip/core/node.hpp
@@ -2,11 +2,11 @@
 #ifndef KINGCUPSLIP_CORE_NODE_HPP
 #define KINGCUPSLIP_CORE_NODE_HPP
 
+#include "kingcupslip/core/call_inbox.hpp"
 #include "kingcupslip/core/config_writer.hpp"
 #include "kingcupslip/core/entry_stage.hpp"
 #include "kingcupslip/core/fleet_agent.hpp"
 #include "kingcupslip/core/node_identity.hpp"
-#include "kingcupslip/core/call_inbox.hpp"
 
 #include <cstdint>
 #include <functional>
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -61,8 +61,8 @@
               m_clock),
       m_inbox(
           [this](wire::callT call, instant deadline, outcome_handler handler) {
-            const std::uint64_t ticket = m_local.submit(
-                std::move(call), deadline, std::move(handler));
+            const std::uint64_t ticket =
+                m_local.submit(std::move(call), deadline, std::move(handler));
             return [this, ticket] { m_local.cancel(ticket); };
           },
           m_local, m_hooks.send, m_clock) {
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -52,14 +52,14 @@
                            const clock_reading& clock, quarantine& crashes)
     : m_options(std::move(options)), m_hooks(std::move(hooks)), m_clock(clock),
       m_crashes(crashes), m_limit(m_options.most_in_flight),
-      m_downstream([this](const std::string& route, double rate_per_s,
-                          double failed) {
-        m_hooks.log(rate_per_s > 0 ? event_id::route_limited
-                                   : event_id::route_unlimited,
-                    {{"route", route},
-                     {"rate_per_s", std::to_string(rate_per_s)},
-                     {"failed_part", std::to_string(failed)}});
-      }),
+      m_downstream(
+          [this](const std::string& route, double rate_per_s, double failed) {
+            m_hooks.log(rate_per_s > 0 ? event_id::route_limited
+                                       : event_id::route_unlimited,
+                        {{"route", route},
+                         {"rate_per_s", std::to_string(rate_per_s)},
+                         {"failed_part", std::to_string(failed)}});
+          }),
       m_service(m_options.service) {
   if (!m_options.protocol.said_not_run) {
     m_options.protocol.said_not_run = own_not_run;
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -19,25 +19,24 @@
   /// Answers are held back until this many requests are there.
   std::size_t together = 1;
   std::vector<answer_sender> held;
-  http_server server{
-      loop,
-      "127.0.0.1",
-      0,
-      {},
-      {[this](const caller_request&, const answer_sender& send) {
-         held.push_back(send);
-         if (held.size() < together) {
-           return;
-         }
-         for (const answer_sender& it : held) {
-           outcome o;
-           o.ran = verdict::ran;
-           o.status = 200;
-           it(std::move(o));
-         }
-         held.clear();
-       },
-       nullptr, nullptr}};
+  http_server server{loop,
+                     "127.0.0.1",
+                     0,
+                     {},
+                     {[this](const caller_request&, const answer_sender& send) {
+                        held.push_back(send);
+                        if (held.size() < together) {
+                          return;
+                        }
+                        for (const answer_sender& it : held) {
+                          outcome o;
+                          o.ran = verdict::ran;
+                          o.status = 200;
+                          it(std::move(o));
+                        }
+                        held.clear();
+                      },
+                      nullptr, nullptr}};
   silent_relay relay{loop, server.port()};
   http_client client{loop,
                      {boost::asio::ip::address_v4::loopback(), relay.port()}};
