--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -85,9 +85,11 @@
 class generator {
 public:
   generator(io_loop& loop, const std::vector<std::string>& urls,
-            std::vector<stream_options> streams, std::uint64_t seed)
+            std::vector<stream_options> streams, std::string id_header,
+            std::uint64_t seed)
       : m_loop(loop), m_timer(loop), m_streams(std::move(streams)),
-        m_results(m_streams.size()), m_random(seed) {
+        m_id_header(std::move(id_header)), m_results(m_streams.size()),
+        m_random(seed) {
     for (const std::string& it : urls) {
       const std::size_t slash = it.rfind('/');
       const std::size_t begin = slash == std::string::npos ? 0 : slash + 1;
@@ -147,7 +149,7 @@
     r.path = s.path;
     r.time_left = std::chrono::seconds(4);
     r.body.assign(key.begin(), key.end());
-    r.headers.push_back({std::string(header_names::idempotency_key), key});
+    r.headers.push_back({m_id_header, key});
     if (!s.key.empty()) {
       r.headers.push_back(
           {std::string(header_names::authorization), "Bearer " + s.key});
@@ -190,6 +192,7 @@
   boost::asio::steady_timer m_timer;
   std::vector<std::unique_ptr<http_client>> m_clients;
   std::vector<stream_options> m_streams;
+  std::string m_id_header;
   std::vector<stream_result> m_results;
   std::mt19937_64 m_random;
   instant m_until{0};
@@ -246,6 +249,7 @@
   std::vector<std::string> urls;
   std::vector<std::string> streams;
   std::string log_file;
+  std::string id_header(header_names::idempotency_key);
   double seconds = 10;
   std::uint64_t seed = 1;
   app.add_option("--url", urls, "nodes, used in turn")->required();
@@ -255,6 +259,7 @@
   app.add_option("--seconds", seconds);
   app.add_option("--seed", seed);
   app.add_option("--target-log", log_file);
+  app.add_option("--id-header", id_header, "header that names each request");
   CLI11_PARSE(app, argc, argv);
   std::vector<stream_options> parsed;
   std::vector<bool> once;
@@ -268,7 +273,7 @@
     once.push_back(f.size() > 4);
   }
   io_loop loop;
-  generator g(loop, urls, parsed, seed);
+  generator g(loop, urls, parsed, id_header, seed);
   g.run(duration(static_cast<std::int64_t>(seconds * 1e6)));
   json out = json::array();
   for (std::size_t i = 0; i < parsed.size(); ++i) {
