A stalled reader of the log holds up neither requests nor the exit

Cause: the thread that writes the log blocked in write() when standard output was a full pipe, and the exit waits for that thread: adapter_stalled_reader (new) saw the process alive 10 s after SIGTERM, past every grace period. Lines that the full queue dropped were not counted.

--- a/src/kingcupslip/daemon/event_log.cpp
+++ b/src/kingcupslip/daemon/event_log.cpp
@@ -2,11 +2,11 @@
 #include "kingcupslip/daemon/event_log.hpp"
 
 #include "kingcupslip/core/line_budget.hpp"
+#include "kingcupslip/daemon/stdout_sink.hpp"
 #include "kingcupslip/net/loop.hpp"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <array>
@@ -51,16 +51,15 @@
 event_sink make_event_log(log_format format, const std::string& node) {
   const std::shared_ptr<spdlog::details::thread_pool> pool =
       std::make_shared<spdlog::details::thread_pool>(most_waiting_lines, 1);
+  const std::shared_ptr<stdout_sink> sink = std::make_shared<stdout_sink>();
   const std::shared_ptr<spdlog::logger> logger =
       std::make_shared<spdlog::async_logger>(
-          "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), pool,
-          spdlog::async_overflow_policy::overrun_oldest);
+          "events", sink, pool, spdlog::async_overflow_policy::overrun_oldest);
   const bool json = format == log_format::json;
   logger->set_pattern(json
                           ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v)"
                           : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
                       spdlog::pattern_time_type::utc);
-  logger->flush_on(spdlog::level::info);
   const auto write = [logger, pool, json, node](event_id id,
                                                 const event_fields& fields) {
     const event_info& info = info_of(id);
@@ -68,11 +67,23 @@
                                             : as_text(info, fields, node));
   };
   const std::shared_ptr<line_budget> budget = std::make_shared<line_budget>();
-  return [write, budget](event_id id, const event_fields& fields) {
+  const auto lost = [sink, pool] {
+    return sink->dropped() + pool->overrun_counter();
+  };
+  const std::shared_ptr<std::uint64_t> lost_before =
+      std::make_shared<std::uint64_t>(0);
+  return [write, budget, sink, lost, lost_before](event_id id,
+                                                  const event_fields& fields) {
     const instant now = read_clocks().now;
     if (const std::optional<event_fields> left_out = budget->turn(now)) {
       write(event_id::lines_dropped, *left_out);
     }
+    const std::uint64_t lost_now = lost();
+    if (lost_now > *lost_before && !sink->stalled()) {
+      write(event_id::lines_dropped,
+            {{"stalled_output", std::to_string(lost_now - *lost_before)}});
+      *lost_before = lost_now;
+    }
     if (budget->admit(id)) {
       write(id, fields);
     }
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -4,6 +4,7 @@
 Two nodes with an endpoint each, the store, callers: everything goes through
 the adapter. Transcripts are compared as in run_sessions.py.
 """
+import fcntl
 import http.client
 import json
 import os
@@ -76,6 +77,14 @@
             [str(PROGRAM), "--config", self.settings.name], stdout=self.log,
             stderr=self.log)
 
+    def start_unread(self):
+        """Starts with a short pipe for its log that nobody reads."""
+        self.unread, end = os.pipe()
+        fcntl.fcntl(end, fcntl.F_SETPIPE_SZ, 4096)
+        self.process = subprocess.Popen(
+            [str(PROGRAM), "--config", self.settings.name], stdout=end)
+        os.close(end)
+
     def stop(self):
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
@@ -295,11 +304,27 @@
                                      "node_draining", "node_stopped")
                          if n in node.names()]
 
+    def stalled_reader(self):
+        """Nobody reads a node's log: requests go on, and so does its end."""
+        node = self.nodes[1]
+        for n in self.nodes:
+            n.endpoint.delay = 0
+        node.start_unread()
+        yield "ready", self.wait(node.is_ready)
+        yield "served", self.wait(lambda: self.ask("/safe/a", node=1)[0] == 200)
+        yield "refused", {self.ask("/nowhere/a", node=1)[0]
+                          for _ in range(100)}
+        yield "still served", self.ask("/safe/a", node=1)[0]
+        node.process.send_signal(signal.SIGTERM)
+        yield "exit", node.process.wait(10)
+        lines = os.read(node.unread, 1 << 16).decode().split("\n")
+        yield "first line", json.loads(lines[0])["name"]
+
     def run(self):
         failures = 0
         for session in (self.requests, self.faulty_endpoints, self.check_ins,
                         self.reload, self.changes, self.outage,
-                        self.graceful_stop):
+                        self.graceful_stop, self.stalled_reader):
             began = time.monotonic()
             text = "".join(f"{k}: {v}\n" for k, v in session())
             failures += not check("adapter_" + session.__name__, text)
