--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -5,6 +5,7 @@
 #include "kingcupslip/core/answer_memory.hpp"
 #include "kingcupslip/core/contract_codec.hpp"
 #include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/daemon/event_log.hpp"
 
 #include <CLI/CLI.hpp>
 #include <malloc.h>
@@ -201,13 +202,57 @@
               s / n * 1e9, static_cast<double>(allocations - before) / n);
 }
 
+/// The line of one request, written or left out; run it with standard output
+/// to a file or /dev/null, the figures go to standard error.
+void log_cost() {
+  const event_sink log = make_event_log(log_format::json, "n1");
+  const auto line = [&log] {
+    log(event_id::request_answered, {{"request", "9c41d07be2a35f68"},
+                                     {"route", "r-e9itfrz"},
+                                     {"service", "huvo11a"},
+                                     {"team", "pulo780"},
+                                     {"reason", "none"},
+                                     {"verdict", "ran"},
+                                     {"status", "200"},
+                                     {"targets", "sidecar-cz-central-a-1"},
+                                     {"took_us", std::to_string(81234)},
+                                     {"left_us", std::to_string(4918766)},
+                                     {"routes", "r12"},
+                                     {"state_age_ms", std::to_string(812)}});
+  };
+  constexpr int written = 20; // of a second
+  const double first = seconds_of([&] {
+    for (int i = 0; i < written; ++i) {
+      line();
+    }
+  });
+  constexpr int n = 100'000;
+  const std::uint64_t before = allocations;
+  const double rest = seconds_of([&] {
+    for (int i = 0; i < n; ++i) {
+      line();
+    }
+  });
+  std::fprintf(stderr,
+               "line of a request: written %.0f ns, left out %.0f ns and %.1f "
+               "allocations\n",
+               first / written * 1e9, rest / n * 1e9,
+               static_cast<double>(allocations - before) / n);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
   CLI::App app{"Slopes of memory, messages and processor time"};
   bool only_routed = false;
   app.add_flag("--routed", only_routed, "only nodes that route by host");
+  bool only_log = false;
+  app.add_flag("--log", only_log, "only the lines of requests");
   CLI11_PARSE(app, argc, argv);
+  if (only_log) {
+    log_cost();
+    return 0;
+  }
   routed_decision_cost();
   for (const std::size_t n : {7, 16, 32, 64}) {
     routed_control_per_node(n);
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// Runs that a crash broke are all lost within this span.
-constexpr duration loss_span = std::chrono::milliseconds(200);
 constexpr std::size_t least_queue = 16;
 constexpr std::size_t queue_per_limit = 4;
 constexpr double us_per_s = 1e6;
@@ -51,7 +49,8 @@
 target_stage::target_stage(target_options options, target_hooks hooks,
                            const clock_reading& clock, quarantine& crashes)
     : m_options(std::move(options)), m_hooks(std::move(hooks)), m_clock(clock),
-      m_crashes(crashes), m_limit(m_options.most_in_flight),
+      m_crashes(crashes), m_crash_watch(crashes, m_hooks.log),
+      m_limit(m_options.most_in_flight),
       m_downstream(
           [this](const std::string& route, double rate_per_s, double failed) {
             m_hooks.log(rate_per_s > 0 ? event_id::route_limited
@@ -113,7 +112,7 @@
   learn(r, result);
   const bool late = m_clock.now >= r.deadline;
   if (result.end == target_end::lost && !r.cancelled && !late) {
-    note_loss(run_id);
+    m_crash_watch.on_lost(run_id, running(), m_clock.now);
   }
   const bool moved = result.end == target_end::answered &&
                      m_options.protocol.said_moved &&
@@ -149,9 +148,7 @@
     m_limit.restart();
     m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
-  if (m_loss) {
-    settle_loss(fresh);
-  }
+  m_crash_watch.settle(fresh, m_clock.now);
   m_instance = a.instance;
   m_born = a.born;
   m_sequence = a.sequence;
@@ -188,9 +185,7 @@
   const bool silent = m_clock.now - m_announced_at > m_options.announce_timeout;
   if (m_ready && silent) {
     m_hooks.log(event_id::target_silent, {{"instance", m_instance}});
-    if (m_loss) {
-      settle_loss(true);
-    }
+    m_crash_watch.settle(true, m_clock.now);
     fall_silent();
   }
   shed_late();
@@ -458,37 +453,12 @@
                {"in_flight", std::to_string(m_runs.size())}});
 }
 
-void target_stage::note_loss(std::uint64_t run_id) {
-  if (m_loss && m_clock.now - m_loss->at > loss_span) {
-    m_loss.reset();
-  }
-  if (!m_loss) {
-    m_loss = loss{};
-    m_loss->at = m_clock.now;
-    for (const std::pair<const std::uint64_t, run>& it : m_runs) {
-      m_loss->in_flight.push_back(it.second.digest);
-      m_loss->runs_left.insert(it.first);
-    }
+crash_watch::digests_by_run target_stage::running() const {
+  crash_watch::digests_by_run out;
+  for (const std::pair<const std::uint64_t, run>& it : m_runs) {
+    out.emplace(it.first, it.second.digest);
   }
-  m_loss->runs_left.erase(run_id);
-}
-
-void target_stage::settle_loss(bool crashed) {
-  // A run of the old instance that still goes on disproves the crash; the
-  // same instance announcing itself again does so, too.
-  const bool all_lost = m_loss->runs_left.empty();
-  if (crashed && all_lost) {
-    m_crashes.on_crash(m_loss->in_flight, m_clock.now);
-    m_hooks.log(event_id::target_crashed,
-                {{"in_flight", std::to_string(m_loss->in_flight.size())}});
-    for (const std::uint64_t digest : m_loss->in_flight) {
-      if (m_crashes.condemned(digest, m_clock.now)) {
-        m_hooks.log(event_id::request_quarantined,
-                    {{"digest", std::to_string(digest)}});
-      }
-    }
-  }
-  m_loss.reset();
+  return out;
 }
 
 std::size_t target_stage::queue_capacity() const {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -4,6 +4,7 @@
 
 #include "kingcupslip/core/admission_queue.hpp"
 #include "kingcupslip/core/concurrency_limit.hpp"
+#include "kingcupslip/core/crash_watch.hpp"
 #include "kingcupslip/core/downstream_limit.hpp"
 #include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/outcome.hpp"
@@ -18,7 +19,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -172,12 +172,6 @@
     bool cancelled = false;
     outcome_handler handler;
   };
-  /// A loss that a crash may explain, until the target's next word.
-  struct loss {
-    instant at{0};
-    std::vector<std::uint64_t> in_flight;
-    std::set<std::uint64_t> runs_left;
-  };
 
   std::optional<reason> refuse_at_once(const wire::callT& request,
                                        instant deadline);
@@ -193,8 +187,7 @@
   /// Whether a run failed for want of a nested call.
   bool failed_below(const run& r, const outcome& o) const;
   void log_failed_run(const run& r, const target_result& result, bool moved);
-  void note_loss(std::uint64_t run_id);
-  void settle_loss(bool crashed);
+  crash_watch::digests_by_run running() const;
   bool suspect_running() const { return m_suspect_run != 0; }
   std::size_t queue_capacity() const;
   duration time_to_serve() const;
@@ -213,6 +206,7 @@
   target_hooks m_hooks;
   const clock_reading& m_clock;
   quarantine& m_crashes;
+  crash_watch m_crash_watch;
   concurrency_limit m_limit;
   downstream_limit m_downstream;
   admission_queue m_queue;
@@ -221,7 +215,6 @@
   std::map<std::uint64_t, run> m_runs;
   std::unordered_map<std::uint64_t, std::uint64_t> m_run_by_ticket;
   std::map<std::uint32_t, std::uint64_t> m_epochs;
-  std::optional<loss> m_loss;
   std::uint64_t m_next = 0;
   std::uint64_t m_suspect_run = 0;
   std::string m_service;
