--- a/src/kingcupslip/core/team_quota.cpp
+++ b/src/kingcupslip/core/team_quota.cpp
@@ -87,11 +87,11 @@
                               instant now) const {
   std::vector<std::string> homes = m_members.ranked(team, homes_for(s.burst));
   const double parts = static_cast<double>(homes.size());
-  const auto own =
+  const auto own_it =
       std::find(homes.begin(), homes.end(), m_members.self().info.node);
-  const bool home = own != homes.end();
+  const bool home = own_it != homes.end();
   if (home) {
-    homes.erase(own);
+    homes.erase(own_it);
   }
   s.bucket.resize(home ? s.rate_per_s / parts : 0, home ? s.burst / parts : 0,
                   now);
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -29,8 +29,7 @@
                              routed_protocol protocol, settings_source reread)
     : m_settings(settings), m_protocol(std::move(protocol)),
       m_reread(std::move(reread)), m_settings_text(settings.text),
-      m_timer(m_loop),
-      m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
+      m_timer(m_loop), m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
       m_log(make_event_log(settings.log, settings.node)),
       m_store(m_loop, endpoint_of(settings.store)),
       m_target(m_loop, endpoint_of(settings.target)) {
--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -178,7 +178,8 @@
       done(500);
     };
   }
-  routed_load l(f, {"a1", "a2", "a3", "b1", "b2", "b3"}, "/safe/x", 100, seconds(10));
+  routed_load l(f, {"a1", "a2", "a3", "b1", "b2", "b3"}, "/safe/x", 100,
+                seconds(10));
   f.run_for(seconds(12));
   const double runs =
       static_cast<double>(runs_of(f, {"a1", "a2", "a3", "b1", "b2", "b3"}));
--- a/tests/core/team_quota_test.cpp
+++ b/tests/core/team_quota_test.cpp
@@ -57,8 +57,8 @@
   build_routed_fleet(f, 4, simple_routes(16, 16));
   f.store_down = true;
   f.run_for(seconds(2));
-  routed_load l(f, {"a1", "b2", "a3", "b4", "a2", "b1", "a4", "b3"}, "/safe/x", 4,
-         seconds(25));
+  routed_load l(f, {"a1", "b2", "a3", "b4", "a2", "b1", "a4", "b3"}, "/safe/x",
+                4, seconds(25));
   f.run_for(seconds(26));
   CHECK(l.ran * 100 >= l.asked * 95);
 }
