--- a/src/kingcupslip/daemon/node_daemon.cpp
+++ b/src/kingcupslip/daemon/node_daemon.cpp
@@ -115,22 +115,7 @@
   };
   out.target.cancel = [this](std::uint64_t run) { m_target.cancel(run); };
   out.target.log = m_log;
-  // Table answers come through the loop: the clock is set anew before the
-  // core hears of them.
-  const table_hooks table = m_table.hooks();
-  out.table.read = [this, table](const table_query& q, read_handler handler) {
-    table.read(q, [this, handler](table_status s, std::vector<table_row> r) {
-      core();
-      handler(s, std::move(r));
-    });
-  };
-  out.table.commit = [this, table](const table_transaction& t,
-                                   commit_handler handler) {
-    table.commit(t, [this, handler](table_status s, std::uint64_t version) {
-      core();
-      handler(s, version);
-    });
-  };
+  out.table = with_clock(m_table.hooks(), [this] { core(); });
   out.random = make_random();
   out.log = m_log;
   return out;
--- a/src/kingcupslip/daemon/process_parts.cpp
+++ b/src/kingcupslip/daemon/process_parts.cpp
@@ -3,8 +3,11 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <fstream>
 #include <memory>
 #include <random>
+#include <sstream>
+#include <utility>
 
 namespace kingcupslip {
 
@@ -22,6 +25,38 @@
   return out;
 }
 
+std::optional<std::string> read_text(const std::string& file) {
+  std::ifstream in(file);
+  if (!in) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+table_hooks with_clock(const table_hooks& table,
+                       const std::function<void()>& set_clock) {
+  table_hooks out;
+  out.read = [table, set_clock](const table_query& q,
+                                const read_handler& handler) {
+    table.read(
+        q, [set_clock, handler](table_status s, std::vector<table_row> rows) {
+          set_clock();
+          handler(s, std::move(rows));
+        });
+  };
+  out.commit = [table, set_clock](const table_transaction& t,
+                                  const commit_handler& handler) {
+    table.commit(t,
+                 [set_clock, handler](table_status s, std::uint64_t version) {
+                   set_clock();
+                   handler(s, version);
+                 });
+  };
+  return out;
+}
+
 member_table::random_source make_random() {
   std::random_device seed;
   const std::shared_ptr<std::mt19937_64> engine =
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -133,22 +133,7 @@
   out.target.cancel = [this](std::uint64_t run) { m_target.cancel(run); };
   out.target.log = m_log;
   out.protocol = m_protocol.target;
-  // Answers of the store come through the loop: the clock is set anew before
-  // the core hears of them.
-  const table_hooks table = m_protocol.table(m_store);
-  out.table.read = [this, table](const table_query& q, read_handler handler) {
-    table.read(q, [this, handler](table_status s, std::vector<table_row> r) {
-      core();
-      handler(s, std::move(r));
-    });
-  };
-  out.table.commit = [this, table](const table_transaction& t,
-                                   commit_handler handler) {
-    table.commit(t, [this, handler](table_status s, std::uint64_t version) {
-      core();
-      handler(s, version);
-    });
-  };
+  out.table = with_clock(m_protocol.table(m_store), [this] { core(); });
   const watch_hooks watch = m_protocol.watch(m_store);
   const auto timed = [this](watch_handler handler) {
     return [this, handler](watch_status s, std::vector<operator_item> items,
--- a/src/programs/kingcupslipd.cpp
+++ b/src/programs/kingcupslipd.cpp
@@ -1,5 +1,6 @@
 // The node's program: reads settings, runs the daemon.
 #include "kingcupslip/daemon/node_daemon.hpp"
+#include "kingcupslip/daemon/process_parts.hpp"
 #include "kingcupslip/daemon/settings.hpp"
 #include "kingcupslip/version.hpp"
 
@@ -8,9 +9,8 @@
 
 #include <cstdlib>
 #include <exception>
-#include <fstream>
 #include <iostream>
-#include <sstream>
+#include <optional>
 #include <string>
 
 namespace {
@@ -21,14 +21,12 @@
 constexpr int exit_cannot_start = 3;
 
 int run(const std::string& file, bool check_only) {
-  std::ifstream in(file);
-  if (!in) {
+  const std::optional<std::string> text = read_text(file);
+  if (!text) {
     std::cerr << file << ": cannot be read\n";
     return exit_bad_settings;
   }
-  std::ostringstream text;
-  text << in.rdbuf();
-  const settings_result settings = parse_settings(text.str());
+  const settings_result settings = parse_settings(*text);
   if (!settings.has_value()) {
     std::cerr << to_text(settings.error(), file);
     return exit_bad_settings;
