A goodbye that names no life ends every life begun before it

Ruled out: a second life of the endpoint (the id did not come again later); the first check-in after a goodbye as the one that left (a new life under the same id would be refused for good).

Change: where neither goodbye nor announcement has named the life, all lives begun up to now are meant. born is Unix milliseconds, and is said to be.

Before: routed_node.a_restarted_node_is_bound_by_a_goodbye_that_names_no_life failed.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -163,8 +163,13 @@
 
 void target_stage::on_leave(const std::string& instance, std::uint64_t born) {
   const bool named_life = born != 0;
+  const bool known_life = instance == m_instance;
   m_left_instance = instance;
-  m_left_born = named_life ? born : m_born;
+  // Where neither the goodbye nor an announcement has named the life, every
+  // life that began before is meant.
+  m_left_born = named_life   ? born
+                : known_life ? m_born
+                             : static_cast<std::uint64_t>(m_clock.wall.count());
   if (instance == m_instance && (!named_life || born == m_born)) {
     m_target_draining = true;
     fall_silent();
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -55,8 +55,8 @@
 /// What a target says of itself when it announces itself.
 struct target_announcement {
   std::string instance; ///< the target's name for itself
-  /// Start of this life, in any unit that grows; tells lives of one name
-  /// apart. 0 where names differ at each start.
+  /// Start of this life in Unix milliseconds; tells lives of one name apart.
+  /// 0 where names differ at each start.
   std::uint64_t born = 0;
   /// Grows with each announcement of a life; 0 where it is not told.
   std::uint64_t sequence = 0;
--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -221,6 +221,30 @@
   CHECK(f.at("a1").target().ready());
 }
 
+TEST(routed_node, a_restarted_node_is_bound_by_a_goodbye_that_names_no_life) {
+  routed_fleet f(29);
+  build_routed_fleet(f, 1);
+  f.announcing = false;
+  f.kill("a1");
+  f.revive("a1");
+  f.run_for(milliseconds(500));
+  const std::uint64_t now =
+      static_cast<std::uint64_t>(f.at("a1").clock().wall.count());
+  f.at("a1").on_target_leave("i", 0);
+  target_announcement late;
+  late.instance = "i";
+  late.service = "svc";
+  late.slots = 10;
+  late.born = now - 10'000;
+  late.sequence = 7;
+  f.at("a1").on_target_announce(late);
+  CHECK_FALSE(f.at("a1").target().ready());
+  late.born = now + 3'000;
+  late.sequence = 1;
+  f.at("a1").on_target_announce(late);
+  CHECK(f.at("a1").target().ready());
+}
+
 TEST(routed_node, both_sides_of_a_partition_find_each_other_again) {
   routed_fleet f(14);
   build_routed_fleet(f, 3);
