A downstream limit is forgotten after a pause

Cause: seen in the read-through. Windows close only when requests come, so a route that was limited before a pause in its traffic was still limited after it, however long. Change: after 20 s without a request the route starts anew. Before: downstream_limit.a_limit_is_forgotten_after_a_pause failed, 484 of 500 requests refused. After: 110 of 110 unit tests.

--- a/src/kingcupslip/core/downstream_limit.cpp
+++ b/src/kingcupslip/core/downstream_limit.cpp
@@ -11,6 +11,8 @@
 
 constexpr duration window_span = std::chrono::milliseconds(500);
 constexpr duration longest_window = std::chrono::seconds(3);
+/// What was learned before such a pause says nothing any more.
+constexpr duration longest_pause = std::chrono::seconds(20);
 /// A shorter window says too little.
 constexpr std::size_t least_ended = 2;
 /// Part of a window's requests that may fail without a cut.
@@ -69,6 +71,14 @@
 void downstream_limit::close_window(const std::string& route, route_state& s,
                                     priority rank, instant now) {
   const duration span = now - s.window_began;
+  if (span > longest_pause) {
+    if (s.rate_per_s > 0) {
+      m_on_change(route, 0, 0);
+    }
+    s = route_state{};
+    s.window_began = now;
+    return;
+  }
   const bool said_enough = s.ended >= least_ended && span >= window_span;
   if (!said_enough && span < longest_window) {
     return;
--- a/tests/core/downstream_limit_test.cpp
+++ b/tests/core/downstream_limit_test.cpp
@@ -96,6 +96,16 @@
   LONGS_EQUAL(0, l.refused);
 }
 
+TEST(downstream_limit, a_limit_is_forgotten_after_a_pause) {
+  offered_load l{limit, "r", priority::low, 100};
+  l.run(now, seconds(10), 0.9);
+  CHECK(limit.rate_of("r") > 0);
+  now += seconds(30);
+  l.refused = 0;
+  l.run(now, seconds(5), 0);
+  LONGS_EQUAL(0, l.refused);
+}
+
 TEST(downstream_limit, less_urgent_routes_give_way_first) {
   offered_load urgent{limit, "urgent", priority::critical, 50};
   offered_load less{limit, "less", priority::normal, 50};
