Targets: log what a target states about itself in its answers

Nothing named a limit that was heard, or the rate at which a target is sent requests.

What the node does is unchanged. A field that is no number changes nothing and is logged. An answer without the request's id, which may be bytes sent by mistake, does not end a limit.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -119,6 +119,9 @@
   const bool moved = result.end == exchange_end::answered &&
                      m_options.protocol.is_moved_answer &&
                      m_options.protocol.is_moved_answer(result);
+  if (!moved) {
+    update_notice(r, result);
+  }
   if (moved || result.end != exchange_end::answered) {
     log_failed_run(r, result, moved);
   }
@@ -149,6 +152,8 @@
       a.instance != m_instance || a.start_time_ms != m_start_time_ms;
   if (new_instance) {
     m_limit.on_target_restart();
+    ++m_instance_number;
+    m_notice = target_notice{};
     m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
   m_crash_detector.resolve(new_instance, m_clock.now);
@@ -331,6 +336,7 @@
   r.digest = call.request.digest;
   r.span_id = placement_hash(m_options.service + std::to_string(id) + "/" +
                              std::to_string(m_clock.wall.count()));
+  r.instance_number = m_instance_number;
   r.started_at = m_clock.now;
   r.deadline = call.deadline;
   r.idempotent = call.request.idempotent;
@@ -348,6 +354,7 @@
   out.body = std::move(call.request.body);
   m_run_by_ticket[ticket] = id;
   m_runs.emplace(id, std::move(r));
+  ++m_started;
   m_hooks.run(id, std::move(out));
 }
 
@@ -416,6 +423,40 @@
   m_quarantine.on_completed(r.digest);
 }
 
+void target_stage::update_notice(const run& r, const target_result& result) {
+  const bool from_current_instance = result.end == exchange_end::answered &&
+                                     r.instance_number == m_instance_number;
+  if (!from_current_instance || !m_options.protocol.notice_of) {
+    return;
+  }
+  std::optional<target_notice> stated = m_options.protocol.notice_of(result);
+  if (!stated) {
+    return;
+  }
+  if (stated->rate_limit_unreadable) {
+    m_hooks.log(event_id::target_limit_unreadable,
+                {{"instance", m_instance}, {"request", r.request_id}});
+    stated->rate_limit_unreadable = false;
+    stated->rate_limit_per_s = m_notice.rate_limit_per_s;
+  }
+  const bool limit_changed =
+      stated->rate_limit_per_s != m_notice.rate_limit_per_s;
+  if (limit_changed) {
+    m_hooks.log(
+        stated->rate_limit_per_s ? event_id::target_rate_limited
+                                 : event_id::target_rate_unlimited,
+        {{"instance", m_instance},
+         {"request", r.request_id},
+         {"rate_per_s", std::to_string(stated->rate_limit_per_s.value_or(0))},
+         {"in_flight", std::to_string(m_runs.size())}});
+  }
+  if (stated->leaving && !m_notice.leaving) {
+    m_hooks.log(event_id::target_leaving,
+                {{"instance", m_instance}, {"request", r.request_id}});
+  }
+  m_notice = *stated;
+}
+
 outcome target_stage::make_outcome(const run& r, target_result result,
                                    bool moved) const {
   switch (result.end) {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -69,6 +69,18 @@
   duration cold_time_left{0};      ///< until it can take its full load
 };
 
+/// What a target states about itself in an answer, besides the answer itself.
+struct target_notice {
+  /// The rate of requests that it asks all nodes together to keep; null: none.
+  std::optional<double> rate_limit_per_s;
+  /// It states a limit that cannot be read; the one before stays in force.
+  bool rate_limit_unreadable = false;
+  /// It is about to end and must get no new requests.
+  bool leaving = false;
+
+  bool empty() const { return !rate_limit_per_s && !leaving; }
+};
+
 /// Encoding of requests and decoding of answers. Empty functions stand for the
 /// product's own protocol.
 struct target_protocol {
@@ -79,6 +91,10 @@
   std::function<bool(const target_result&)> is_not_run_answer;
   /// Whether an answer states that another target now has the address.
   std::function<bool(const target_result&)> is_moved_answer;
+  /// What the target states about itself in an answer; null if the answer
+  /// cannot be attributed to the target. If the function is empty, targets
+  /// state nothing.
+  std::function<std::optional<target_notice>(const target_result&)> notice_of;
 };
 
 /// Callbacks of the target stage.
@@ -167,6 +183,10 @@
   const std::string& service() const { return m_service; }
   const std::string& instance() const { return m_instance; }
   bool idle() const { return m_runs.empty() && m_queue.size() == 0; }
+  /// What the target stated in its last answer.
+  const target_notice& notice() const { return m_notice; }
+  /// Requests sent to the target so far.
+  std::uint64_t started() const { return m_started; }
   span_retry_budget& span_retry_budgets() { return m_span_retry_budgets; }
 
 private:
@@ -183,6 +203,7 @@
     priority rank = priority::normal;
     std::uint64_t digest = 0;
     std::uint64_t span_id = 0;
+    std::uint64_t instance_number = 0;
     instant started_at{0};
     instant deadline{0};
     bool idempotent = true;
@@ -206,6 +227,8 @@
   /// while it was in progress. Nested calls are not matched with runs, so the
   /// call may belong to another run.
   bool failed_on_nested_overload(const run& r, const outcome& o) const;
+  /// Applies what the target states about itself in the answer of a run.
+  void update_notice(const run& r, const target_result& result);
   void log_failed_run(const run& r, const target_result& result, bool moved);
   crash_detector::digests_by_run running_digests() const;
   bool suspect_running() const { return m_suspect_run != 0; }
@@ -245,6 +268,11 @@
   std::uint64_t m_sequence = 0;
   std::string m_left_instance;
   std::uint64_t m_left_start_time_ms = 0;
+  /// Counts the instances of the target. An answer of an earlier instance says
+  /// nothing about the current one.
+  std::uint64_t m_instance_number = 0;
+  target_notice m_notice;
+  std::uint64_t m_started = 0;
   std::size_t m_max_concurrency = 0;
   instant m_cold_until{0};
   token_bucket m_cold_start_bucket;
--- a/src/kingcupslip/daemon/metrics.cpp
+++ b/src/kingcupslip/daemon/metrics.cpp
@@ -98,6 +98,9 @@
                static_cast<double>(target.in_flight()));
   append_gauge(out, "kingcupslip_target_queued",
                static_cast<double>(target.queued()));
+  append_gauge(out, "kingcupslip_target_rate_limit",
+               target.notice().rate_limit_per_s.value_or(0));
+  append_counter(out, "kingcupslip_target_started_total", target.started());
 }
 
 void append_peer_metrics(const peer_network& peers, std::string& out) {
