--- a/src/kingcupslip/core/reason.cpp
+++ b/src/kingcupslip/core/reason.cpp
@@ -58,6 +58,8 @@
      false},
     {"overloaded_below", "services that the request needs are overloaded", 503,
      true, false, true},
+    {"target_rate_limited", "the target asks for fewer requests", 503, true,
+     true, true},
 }};
 
 } // namespace
--- a/src/kingcupslip/core/reason.hpp
+++ b/src/kingcupslip/core/reason.hpp
@@ -44,6 +44,7 @@
   too_slow,
   too_many_connections,
   overloaded_below,
+  target_rate_limited,
   count_
 };
 
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -86,6 +86,9 @@
   /// Runs started at this target, by idempotency key.
   std::map<std::string, int> runs_by_key;
   std::uint64_t total_runs = 0;
+  std::vector<instant> started_at; ///< when each run started
+  /// Header fields of each answer, as set when it is sent.
+  std::vector<header> answer_headers;
   /// Filled if `keep_started_requests` is set.
   std::vector<target_request> started_requests;
   bool keep_started_requests = false;
@@ -117,6 +120,7 @@
 
   void start_request(queued_request w) {
     ++total_runs;
+    started_at.push_back(m_scheduler.now());
     for (const header& it : w.request.headers) {
       if (it.name == "Idempotency-Key") {
         ++runs_by_key[it.value];
@@ -133,17 +137,18 @@
     const std::uint64_t generation = m_generation;
     const std::uint64_t id = w.id;
     const body_bytes echo = w.request.body;
-    const std::function<void(std::uint16_t)> done =
-        [this, id, generation, echo](std::uint16_t status) {
-          if (generation != m_generation) {
-            return;
-          }
-          --m_running;
-          if (m_pending.erase(id) != 0) {
-            send_result(id, {exchange_end::answered, status, {}, echo});
-          }
-          start_queued();
-        };
+    const std::function<void(std::uint16_t)> done = [this, id, generation,
+                                                     echo](
+                                                        std::uint16_t status) {
+      if (generation != m_generation) {
+        return;
+      }
+      --m_running;
+      if (m_pending.erase(id) != 0) {
+        send_result(id, {exchange_end::answered, status, answer_headers, echo});
+      }
+      start_queued();
+    };
     const target_request request = std::move(w.request);
     m_scheduler.run_after(
         m_options.service_time, [this, generation, done, request] {
--- a/tests/support/routed_fleet.cpp
+++ b/tests/support/routed_fleet.cpp
@@ -19,6 +19,17 @@
 constexpr duration silence_detection_delay = std::chrono::seconds(2);
 constexpr std::chrono::milliseconds wall_clock_start{1'700'000'000'000};
 
+std::optional<target_notice> decode_notice(const target_result& r) {
+  target_notice out;
+  for (const header& it : r.headers) {
+    if (it.name == rate_limit_field) {
+      out.rate_limit_per_s = std::stod(it.value);
+    }
+    out.leaving |= it.name == leaving_field;
+  }
+  return out;
+}
+
 } // namespace
 
 routed_fleet::routed_fleet(std::uint64_t seed) : random(seed) {}
@@ -71,6 +82,7 @@
     target(name).cancel(run);
   };
   h.target.log = [](event_id, const event_fields&) {};
+  h.protocol.notice_of = decode_notice;
   h.table.read = [this, name, generation](const table_query& q,
                                           const read_handler& handler) {
     ++store_calls;
--- a/tests/support/routed_fleet.hpp
+++ b/tests/support/routed_fleet.hpp
@@ -18,6 +18,11 @@
 
 namespace kingcupslip {
 
+/// Fields in the answers of fake targets with what a target states about
+/// itself.
+constexpr const char* rate_limit_field = "Rate-Limit";
+constexpr const char* leaving_field = "Leaving";
+
 /// Simulates routed nodes with their targets, the network between the nodes
 /// and the store.
 class routed_fleet {
