Target stage: keep to the rate that the target asks for

Callers saw targets in need fall over or turn slow under their usual load.

Class: a signal from a dependency that is passed on and not read.

Ruled out: a limit divided over the entry nodes. It would need agreement on who gets how much, and fail at joins and partitions. Every request for a target already passes the node beside it, so one token bucket there holds for all nodes, in each partition as well.

Change: target_rate_limit beside the target, set by each answer of the current instance and dropped when an answer no longer states it. Requests that could not start in time are refused at once as target_rate_limited, not run, and may go to another target. Other nodes balance by capacity(), which follows the rate.

--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -108,7 +108,7 @@
     v.own_in_flight = it.second.own_in_flight;
     v.failures = it.second.failures;
     const bool local = m.node == self;
-    v.limit = local ? static_cast<double>(m_local_target.limit()) : m.limit;
+    v.limit = local ? static_cast<double>(m_local_target.capacity()) : m.limit;
     v.reported_in_flight =
         local ? m_local_target.in_flight() + m_local_target.queued()
               : m.in_flight;
--- a/src/kingcupslip/core/incoming_calls.cpp
+++ b/src/kingcupslip/core/incoming_calls.cpp
@@ -41,7 +41,7 @@
 
 void incoming_calls::reply(const call_id& id, outcome o) {
   wire::replyT reply = to_reply(id.second, std::move(o));
-  reply.limit = static_cast<float>(m_local_target.limit());
+  reply.limit = static_cast<float>(m_local_target.capacity());
   reply.in_flight = static_cast<std::uint32_t>(m_local_target.in_flight());
   reply.queued = static_cast<std::uint32_t>(m_local_target.queued());
   wire::payloadUnion body;
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -220,7 +220,7 @@
       settings == nullptr ? 0 : settings->cold_requests_per_s);
   m_gossip.set_service(m_local_target.service());
   m_gossip.set_ready(m_local_target.ready(),
-                     static_cast<double>(m_local_target.limit()));
+                     static_cast<double>(m_local_target.capacity()));
 }
 
 void routed_node::tick_drain() {
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -17,9 +17,9 @@
 
 constexpr std::size_t min_queue_capacity = 16;
 constexpr std::size_t queue_capacity_per_slot = 4;
-/// Minimum latency from which the limit of a cold target is computed; also
+/// Minimum latency from which a concurrency is computed for a rate; also
 /// stands in before the first answer.
-constexpr duration min_cold_latency = std::chrono::milliseconds(100);
+constexpr duration min_busy_time = std::chrono::milliseconds(100);
 /// Requests that a cold target may start in a burst.
 constexpr double cold_burst = 3;
 constexpr std::chrono::milliseconds shed_retry_after{1000};
@@ -154,6 +154,7 @@
     m_limit.on_target_restart();
     ++m_instance_number;
     m_notice = target_notice{};
+    m_rate_limit.set(std::nullopt, m_clock.now);
     m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
   m_crash_detector.resolve(new_instance, m_clock.now);
@@ -283,9 +284,18 @@
   if (m_options.plain_forwarding) {
     return std::nullopt;
   }
+  const std::size_t ahead =
+      m_queue.count_ahead(rank_of(request), request.team, request.weight);
+  const duration longest_wait = max_wait(deadline);
+  const bool over_rate_limit =
+      request.patient &&
+      m_rate_limit.time_until_starts(ahead + 1, m_clock.now) > longest_wait;
+  if (over_rate_limit) {
+    return reason::target_rate_limited;
+  }
   const bool must_wait = cold() || m_runs.size() >= limit();
-  const bool too_late = must_wait && request.patient &&
-                        expected_wait(request) > max_wait(deadline);
+  const bool too_late =
+      must_wait && request.patient && expected_wait(ahead) > longest_wait;
   if (too_late) {
     return reason::shed;
   }
@@ -303,7 +313,7 @@
   const std::size_t max_running =
       m_options.plain_forwarding ? m_options.max_in_flight : limit();
   while (m_ready && m_runs.size() < max_running && m_queue.size() > 0 &&
-         take_cold_start_token()) {
+         allows_start()) {
     const duration service_time =
         m_options.plain_forwarding ? duration(0) : m_limit.baseline_latency();
     std::optional<waiting_request> w =
@@ -344,6 +354,10 @@
   if (m_quarantine.is_suspect(r.digest, m_clock.now)) {
     m_suspect_run = id;
   }
+  if (cold()) {
+    m_cold_start_bucket.take(m_clock.now);
+  }
+  m_rate_limit.on_start(m_clock.now);
   m_span_retry_budgets.open(r.span_id, call.request.retries);
   const duration left = call.deadline - m_clock.now;
   target_request out =
@@ -455,6 +469,7 @@
                 {{"instance", m_instance}, {"request", r.request_id}});
   }
   m_notice = *stated;
+  m_rate_limit.set(m_notice.rate_limit_per_s, m_clock.now);
 }
 
 outcome target_stage::make_outcome(const run& r, target_result result,
@@ -550,22 +565,29 @@
   return std::max(spare, duration(0)) / 2;
 }
 
-duration target_stage::expected_wait(const wire::callT& request) const {
-  const std::size_t ahead =
-      m_queue.count_ahead(rank_of(request), request.team, request.weight) + 1;
+duration target_stage::expected_wait(std::size_t ahead) const {
   const duration time_per_request =
       std::max(m_limit.recent_latency(), duration(1));
   const duration by_concurrency =
-      time_per_request * static_cast<int>(ahead) /
+      time_per_request * static_cast<int>(ahead + 1) /
       static_cast<int>(std::max<std::size_t>(1, limit()));
   if (!cold()) {
     return by_concurrency;
   }
-  const double us =
-      static_cast<double>(ahead) / m_cold_start_bucket.rate_per_s() * us_per_s;
+  const double us = static_cast<double>(ahead + 1) /
+                    m_cold_start_bucket.rate_per_s() * us_per_s;
   return std::max(by_concurrency, duration(static_cast<duration::rep>(us)));
 }
 
+std::size_t target_stage::concurrency_at(double rate_per_s) const {
+  const double busy_s =
+      static_cast<double>(
+          std::max(m_limit.recent_latency(), min_busy_time).count()) /
+      us_per_s;
+  return static_cast<std::size_t>(
+      std::max(1.0, std::ceil(rate_per_s * busy_s)));
+}
+
 std::size_t target_stage::limit() const {
   // A concurrency that the target announces is exact; otherwise the limit is
   // learned.
@@ -573,21 +595,21 @@
       m_max_concurrency > 0
           ? std::min(m_max_concurrency, m_options.max_in_flight)
           : m_limit.limit();
-  if (!cold()) {
-    return warm_limit;
-  }
-  const double busy_s =
-      static_cast<double>(
-          std::max(m_limit.recent_latency(), min_cold_latency).count()) /
-      us_per_s;
-  const double cold_concurrency =
-      std::ceil(m_cold_start_bucket.rate_per_s() * busy_s);
-  return std::min(warm_limit,
-                  static_cast<std::size_t>(std::max(1.0, cold_concurrency)));
+  return cold() ? std::min(warm_limit,
+                           concurrency_at(m_cold_start_bucket.rate_per_s()))
+                : warm_limit;
+}
+
+std::size_t target_stage::capacity() const {
+  return m_rate_limit.active()
+             ? std::min(limit(), concurrency_at(m_rate_limit.rate_per_s()))
+             : limit();
 }
 
-bool target_stage::take_cold_start_token() {
-  return !cold() || m_cold_start_bucket.take(m_clock.now);
+bool target_stage::allows_start() {
+  const bool warm_enough =
+      !cold() || m_cold_start_bucket.level(m_clock.now) >= 1;
+  return warm_enough && m_rate_limit.allows_start(m_clock.now);
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -11,6 +11,7 @@
 #include "kingcupslip/core/pending_calls.hpp"
 #include "kingcupslip/core/quarantine.hpp"
 #include "kingcupslip/core/span_retry_budget.hpp"
+#include "kingcupslip/core/target_rate_limit.hpp"
 #include "kingcupslip/core/time.hpp"
 #include "kingcupslip/core/token_bucket.hpp"
 #include "kingcupslip/wire/generated/messages.hpp"
@@ -179,6 +180,9 @@
   std::size_t queued() const { return m_queue.size(); }
   /// The number of requests that may currently run at once.
   std::size_t limit() const;
+  /// The concurrency that other nodes balance by: limit(), or what the rate
+  /// that the target asks for keeps busy, if that is less.
+  std::size_t capacity() const;
   /// The announced service of the target.
   const std::string& service() const { return m_service; }
   const std::string& instance() const { return m_instance; }
@@ -235,12 +239,16 @@
   std::size_t queue_capacity() const;
   duration expected_service_time() const;
   duration max_wait(instant deadline) const;
-  duration expected_wait(const wire::callT& request) const;
+  /// Time until a request with `ahead` others before it in the queue starts.
+  duration expected_wait(std::size_t ahead) const;
+  /// The number of requests that `rate_per_s` keeps busy.
+  std::size_t concurrency_at(double rate_per_s) const;
   bool cold() const {
     return m_clock.now < m_cold_until && m_cold_start_bucket.rate_per_s() > 0;
   }
-  /// Whether a request may start now; takes a token if the target is cold.
-  bool take_cold_start_token();
+  /// Whether the start rates of a cold target and of the target's own limit
+  /// allow one more request now.
+  bool allows_start();
   /// Refuses all queued requests and accepts none until the next announcement.
   void stop_sending();
   /// Refuses queued requests that can no longer finish before their deadline.
@@ -276,6 +284,7 @@
   std::size_t m_max_concurrency = 0;
   instant m_cold_until{0};
   token_bucket m_cold_start_bucket;
+  target_rate_limit m_rate_limit;
   instant m_announced_at{0};
   instant m_nested_overload_at{-1};
   bool m_ready = false;
