Target stage: probe a target whose rate limit is not known yet

A target with a limit of 2/s got a burst each time the node beside it started again: until the first answer came the new process knew of no limit.

Class: state that is lost at a restart and needs time to be learned again.

Change: until an instance has answered this process once, at most three of its requests run at a time. The first answer tells whether there is a limit. This needs no other node, so it also holds when all nodes restart together.

Ruled out: the limit in the store (a write for each change, and a store that may be away) and the limit in gossip alone (lost when all nodes restart).

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -22,6 +22,9 @@
 constexpr duration min_busy_time = std::chrono::milliseconds(100);
 /// Requests that a cold target may start in a burst.
 constexpr double cold_burst = 3;
+/// Requests that may run before the first answer tells whether the target has
+/// a rate limit, which an earlier process of this node may have known.
+constexpr std::size_t max_running_before_answer = 3;
 constexpr std::chrono::milliseconds shed_retry_after{1000};
 
 /// An unknown priority, from a node of another release, counts as the lowest.
@@ -154,6 +157,7 @@
     m_limit.on_target_restart();
     ++m_instance_number;
     m_notice = target_notice{};
+    m_instance_answered = false;
     m_rate_limit.set(std::nullopt, m_clock.now);
     m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
@@ -310,9 +314,7 @@
 
 void target_stage::start_queued() {
   std::vector<shed_request> to_shed;
-  const std::size_t max_running =
-      m_options.plain_forwarding ? m_options.max_in_flight : limit();
-  while (m_ready && m_runs.size() < max_running && m_queue.size() > 0 &&
+  while (m_ready && m_runs.size() < max_running() && m_queue.size() > 0 &&
          allows_start()) {
     const duration service_time =
         m_options.plain_forwarding ? duration(0) : m_limit.baseline_latency();
@@ -443,6 +445,7 @@
   if (!from_current_instance || !m_options.protocol.notice_of) {
     return;
   }
+  m_instance_answered = true;
   std::optional<target_notice> stated = m_options.protocol.notice_of(result);
   if (!stated) {
     return;
@@ -606,6 +609,15 @@
              : limit();
 }
 
+std::size_t target_stage::max_running() const {
+  if (m_options.plain_forwarding) {
+    return m_options.max_in_flight;
+  }
+  const bool limit_unknown =
+      m_options.protocol.notice_of && !m_instance_answered;
+  return limit_unknown ? std::min(limit(), max_running_before_answer) : limit();
+}
+
 bool target_stage::allows_start() {
   const bool warm_enough =
       !cold() || m_cold_start_bucket.level(m_clock.now) >= 1;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -249,6 +249,8 @@
   /// Whether the start rates of a cold target and of the target's own limit
   /// allow one more request now.
   bool allows_start();
+  /// The number of requests that may be running now.
+  std::size_t max_running() const;
   /// Refuses all queued requests and accepts none until the next announcement.
   void stop_sending();
   /// Refuses queued requests that can no longer finish before their deadline.
@@ -280,6 +282,9 @@
   /// nothing about the current one.
   std::uint64_t m_instance_number = 0;
   target_notice m_notice;
+  /// Whether the current instance has answered this process, so that its rate
+  /// limit is known.
+  bool m_instance_answered = false;
   std::uint64_t m_started = 0;
   std::size_t m_max_concurrency = 0;
   instant m_cold_until{0};
