Dispatcher: requests leave rate-limited targets for those that have room

With three of four targets limited, callers got 503 target_rate_limited while the fourth target ran at a fifth of its slots.

Cause: two random targets are often both limited, a request queued at a limited target for up to half of its time, and after a refusal it needed a token of the retry budget, although no target had got it.

Change: the choice of two is made among targets that are not full; a load report older than 1 s is ignored, so that a target that was full is tried again; a queue in front of a rate limit is at most 500 ms; a request that the node beside a target refuses for its rate limit goes to another target at once, at most twice. That is no retry: no target has got it, so it costs neither the retry budget nor one of the route's targets.

The test target_rate_limit.requests_go_to_the_one_target_that_has_room failed before.

--- a/src/kingcupslip/core/balancer.cpp
+++ b/src/kingcupslip/core/balancer.cpp
@@ -2,6 +2,7 @@
 #include "kingcupslip/core/balancer.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace kingcupslip {
 
@@ -10,13 +11,25 @@
 /// From this load on, a local target is compared with one in another data
 /// centre.
 constexpr double overflow_load_threshold = 1.5;
+constexpr double full_load = 1;
 constexpr std::uint32_t max_counted_failures = 6;
 
 using candidate_list = std::vector<const target_candidate*>;
 
+/// The targets that are not full; all of them if all are.
+candidate_list with_room(const candidate_list& from) {
+  candidate_list out;
+  std::copy_if(
+      from.begin(), from.end(), std::back_inserter(out),
+      [](const target_candidate* t) { return relative_load(*t) <= full_load; });
+  return out.empty() ? from : out;
+}
+
 const target_candidate*
-pick_better_of_two(const candidate_list& from,
+pick_better_of_two(const candidate_list& all,
                    const std::function<std::uint64_t()>& random) {
+  // Two random targets may both be full while a third has room.
+  const candidate_list from = with_room(all);
   if (from.empty()) {
     return nullptr;
   }
--- a/src/kingcupslip/core/balancer.hpp
+++ b/src/kingcupslip/core/balancer.hpp
@@ -30,7 +30,8 @@
 /// 1 means that it would be full.
 double relative_load(const target_candidate& t);
 
-/// Chooses by power of two choices on `relative_load`. Targets in this data
+/// Chooses by power of two choices on `relative_load` among the targets that
+/// are not full, or among all if all are. Targets in this data
 /// centre are preferred; those in others are considered if there is no local
 /// one, or if the chosen local one is overloaded and `allow_overflow` is set.
 /// Returns null if `targets` is empty.
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -14,6 +14,10 @@
 /// With less time left a request stays in this data centre, unless no local
 /// target is available.
 constexpr duration min_time_for_overflow = std::chrono::milliseconds(20);
+constexpr std::uint32_t max_redirects = 2;
+/// An older report of a target's load is ignored. Without this a target that
+/// was once full, and gets no requests for that, would be taken as full.
+constexpr duration load_report_max_age = std::chrono::seconds(1);
 /// How long a member whose target accepts no requests is not chosen.
 constexpr duration exclusion_period = std::chrono::seconds(1);
 
@@ -85,6 +89,7 @@
   if (m != nullptr && reply.limit >= 1) {
     m->info.limit = reply.limit;
     m->info.in_flight = reply.in_flight + reply.queued;
+    m->load_reported_at = m_clock.now;
   }
 }
 
@@ -111,7 +116,9 @@
     v.limit = local ? static_cast<double>(m_local_target.capacity()) : m.limit;
     v.reported_in_flight =
         local ? m_local_target.in_flight() + m_local_target.queued()
-              : m.in_flight;
+        : m_clock.now - it.second.load_reported_at <= load_report_max_age
+            ? m.in_flight
+            : 0;
     (it.second.unresponsive ? unresponsive_candidates : out)
         .push_back(std::move(v));
   }
@@ -189,6 +196,14 @@
     return;
   }
   const reason retry_reason = o.refusal_reason;
+  if (may_redirect(*job, o)) {
+    ++job->redirects;
+    if (job->on_retry) {
+      job->on_retry(retry_reason);
+    }
+    attempt(job);
+    return;
+  }
   // The nested calls of a lost attempt may have used all of their retries.
   const std::uint32_t used = o.execution == verdict::may_have_run
                                  ? nested_retries
@@ -252,6 +267,12 @@
   }
 }
 
+bool dispatcher::may_redirect(const dispatch_job& job, const outcome& o) const {
+  return o.refusal_reason == reason::target_rate_limited &&
+         o.execution == verdict::not_run && job.redirects < max_redirects &&
+         job.deadline > m_clock.now && !candidates(job).empty();
+}
+
 bool dispatcher::may_retry(dispatch_job& job, const outcome& o) {
   const bool failed = m_options.retry_failed_answers && is_server_failure(o);
   const bool other_target_may_accept =
@@ -261,7 +282,8 @@
     return false;
   }
   if (job.max_targets != 0 &&
-      (job.tried_nodes.size() >= job.max_targets || candidates(job).empty())) {
+      (job.tried_nodes.size() - job.redirects >= job.max_targets ||
+       candidates(job).empty())) {
     return false;
   }
   const bool safe_to_repeat =
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -39,6 +39,7 @@
 
   std::set<std::string> tried_nodes;
   std::uint32_t attempts = 0;
+  std::uint32_t redirects = 0; ///< attempts that ended before their target
   std::uint32_t retries_spent = 0;
   instant retry_at{0};
   bool may_have_run = false; ///< the result of an attempt is unknown
@@ -100,6 +101,10 @@
                   const std::string& node, std::uint32_t nested_retries,
                   outcome o);
   bool may_retry(dispatch_job& job, const outcome& o);
+  /// Whether the request may go to another target at once, as the node beside
+  /// its target refused it for the target's rate limit. This is no retry: no
+  /// target has got the request.
+  bool may_redirect(const dispatch_job& job, const outcome& o) const;
   void finish(const std::shared_ptr<dispatch_job>& job, outcome o);
   void record_target_health(const std::string& node, const outcome& o);
   retry_budget& retry_budget_for(const std::string& service);
--- a/src/kingcupslip/core/member_table.hpp
+++ b/src/kingcupslip/core/member_table.hpp
@@ -30,6 +30,7 @@
   std::uint32_t probes_missed = 0;
   std::uint32_t retransmits_left = 0;
   std::size_t own_in_flight = 0;
+  instant load_reported_at{0}; ///< when a reply last reported the load
   std::uint32_t failures = 0;
   instant excluded_until{0}; ///< gets no requests from this node until then
   bool unresponsive = false; ///< its connection currently delivers nothing
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -25,6 +25,8 @@
 /// Requests that may run before the first answer tells whether the target has
 /// a rate limit, which an earlier process of this node may have known.
 constexpr std::size_t max_running_before_answer = 3;
+/// A longer queue would not raise the rate, and another target may have room.
+constexpr duration max_rate_limit_wait = std::chrono::milliseconds(500);
 constexpr std::chrono::milliseconds shed_retry_after{1000};
 
 /// An unknown priority, from a node of another release, counts as the lowest.
@@ -293,7 +295,8 @@
   const duration longest_wait = max_wait(deadline);
   const bool over_rate_limit =
       request.patient &&
-      m_rate_limit.time_until_starts(ahead + 1, m_clock.now) > longest_wait;
+      m_rate_limit.time_until_starts(ahead + 1, m_clock.now) >
+          std::min(longest_wait, max_rate_limit_wait);
   if (over_rate_limit) {
     return reason::target_rate_limited;
   }
--- a/tests/core/target_rate_limit_test.cpp
+++ b/tests/core/target_rate_limit_test.cpp
@@ -199,6 +199,17 @@
   CHECK(starts_since(l.fleet.target("a1").started_at, since) >= 5 * 25);
 }
 
+// Requests were refused at limited targets while another one had room.
+TEST(target_rate_limit, requests_go_to_the_one_target_that_has_room) {
+  limited_fleet l(12);
+  for (const char* it : {"a1", "a2", "b1"}) {
+    state_limit(l.fleet, it, "5");
+  }
+  routed_load load(l.fleet, l.nodes, "/once/x", 100, seconds(10));
+  l.fleet.run_for(seconds(12));
+  CHECK(load.ran * 100 >= load.sent * 97);
+}
+
 TEST(target_rate_limit, requests_beyond_the_limits_of_all_targets_are_refused) {
   limited_fleet l(8);
   for (const std::string& it : l.nodes) {
