Target stage: no requests for a target whose answers say that it leaves

A target that leaves without draining in its heartbeats kept its requests until its last moment and ended in the middle of them.

Cause: only heartbeats and goodbyes were read; the answers, which say so too and often earlier, were not. Class: the same as of the rate limit, a signal that is passed on and not read.

Change: such an answer makes the target draining for the rest of its instance's life, whatever later heartbeats of that instance report.

target_leaving.a_target_that_states_that_it_leaves_gets_no_requests failed before and passes; the case of a node that restarts meanwhile stays red.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -168,7 +168,8 @@
   m_start_time_ms = a.start_time_ms;
   m_sequence = a.sequence;
   m_announced_at = m_clock.now;
-  m_target_draining = a.draining;
+  // Its heartbeats may still report a target in service.
+  m_target_draining = a.draining || m_notice.leaving;
   m_service = a.service.empty() ? m_options.service : a.service;
   m_max_concurrency = a.max_concurrency;
   m_cold_until = m_clock.now + a.cold_time_left;
@@ -474,6 +475,9 @@
     m_hooks.log(event_id::target_leaving,
                 {{"instance", m_instance}, {"request", r.request_id}});
   }
+  // An instance that leaves does not return.
+  stated->leaving |= m_notice.leaving;
+  m_target_draining |= stated->leaving;
   m_notice = *stated;
   m_rate_limit.set(m_notice.rate_limit_per_s, m_clock.now);
 }
