Nodes tell a restarted node what its target had stated

After a restart of the node beside a target that had said that it leaves, the target got requests again, from callers whose nodes had passed that on.

Cause: the notice lives in one process. The endpoint's next heartbeat may still say that it is in service. Class: an acknowledgement that only one process remembers.

Change: replies carry what the target stated (nothing while it states nothing); each node keeps it for the member and sends it back with its next calls. The node beside the target applies it if it names the same instance and start. A rate limit is taken this way only until the instance has answered the new process itself, so that old reports end no newer statement and start none.

Ruled out: not choosing such a member any more. The node that knows cannot see when a new instance has taken over, so only the node beside it can decide.

--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -83,10 +83,18 @@
   return false;
 }
 
-void dispatcher::on_load_report(const std::string& node,
-                                const wire::replyT& reply) {
+void dispatcher::on_target_report(const std::string& node,
+                                  const wire::replyT& reply) {
   member* m = m_members.find(node);
-  if (m != nullptr && reply.limit >= 1) {
+  if (m == nullptr) {
+    return;
+  }
+  if (reply.target_answered) {
+    m->target_notice = reply.notice
+                           ? std::optional<wire::target_noticeT>(*reply.notice)
+                           : std::nullopt;
+  }
+  if (reply.limit >= 1) {
     m->info.limit = reply.limit;
     m->info.in_flight = reply.in_flight + reply.queued;
     m->load_reported_at = m_clock.now;
@@ -167,6 +175,10 @@
   const std::uint32_t nested_retries = call.retries;
   if (member* m = m_members.find(node)) {
     ++m->own_in_flight;
+    if (m->target_notice) {
+      call.known_notice =
+          std::make_unique<wire::target_noticeT>(*m->target_notice);
+    }
   }
   const outcome_handler handler = [this, job, node, nested_retries](outcome o) {
     on_outcome(job, node, nested_retries, std::move(o));
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -86,8 +86,9 @@
   /// Whether a usable member runs this service.
   bool has_target_for(const std::string& service) const;
 
-  /// Records the load of `node` that its reply reports.
-  void on_load_report(const std::string& node, const wire::replyT& reply);
+  /// Records what the reply of `node` reports about its target: the load, and
+  /// what the target stated about itself.
+  void on_target_report(const std::string& node, const wire::replyT& reply);
 
   /// Changes the options of all retry budgets. They depend on the size of the
   /// fleet, whose nodes share the allowance.
--- a/src/kingcupslip/core/member_table.hpp
+++ b/src/kingcupslip/core/member_table.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
   std::uint32_t failures = 0;
   instant excluded_until{0}; ///< gets no requests from this node until then
   bool unresponsive = false; ///< its connection currently delivers nothing
+  /// What its target stated about itself, from its replies. Survives a restart
+  /// of the member, which then knows nothing of it.
+  std::optional<wire::target_noticeT> target_notice;
   std::uint64_t config_sequence = 0; ///< from its last gossip
   instant last_failure_at{0};
 
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -289,7 +289,7 @@
 }
 
 void node::on_reply(const std::string& from, wire::replyT& m) {
-  m_dispatcher.on_load_report(from, m);
+  m_dispatcher.on_target_report(from, m);
   m_members.on_message_received(from, m_clock.now);
   m_calls.on_reply(from, m);
 }
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -90,6 +90,9 @@
   out.request_id = c.request_id;
   out.caller_service = c.caller_service;
   out.route = c.route;
+  if (c.known_notice) {
+    out.known_notice = std::make_unique<wire::target_noticeT>(*c.known_notice);
+  }
   return out;
 }
 
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -65,6 +65,9 @@
               m_clock),
       m_incoming_calls(
           [this](wire::callT call, instant deadline, outcome_handler handler) {
+            if (call.known_notice) {
+              m_local_target.on_reported_notice(*call.known_notice);
+            }
             const std::uint64_t ticket = m_local_target.submit(
                 std::move(call), deadline, std::move(handler));
             return [this, ticket] { m_local_target.cancel(ticket); };
@@ -101,7 +104,7 @@
     m_incoming_calls.on_call(from, std::move(*body.Ascall()));
     break;
   case wire::payload::reply:
-    m_dispatcher.on_load_report(from, *body.Asreply());
+    m_dispatcher.on_target_report(from, *body.Asreply());
     m_members.on_message_received(from, m_clock.now);
     m_calls.on_reply(from, *body.Asreply());
     break;
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -460,28 +460,54 @@
     stated->rate_limit_unreadable = false;
     stated->rate_limit_per_s = m_notice.rate_limit_per_s;
   }
-  const bool limit_changed =
-      stated->rate_limit_per_s != m_notice.rate_limit_per_s;
-  if (limit_changed) {
-    m_hooks.log(
-        stated->rate_limit_per_s ? event_id::target_rate_limited
-                                 : event_id::target_rate_unlimited,
-        {{"instance", m_instance},
-         {"request", r.request_id},
-         {"rate_per_s", std::to_string(stated->rate_limit_per_s.value_or(0))},
-         {"in_flight", std::to_string(m_runs.size())}});
-  }
-  if (stated->leaving && !m_notice.leaving) {
+  apply_notice(*stated, r.request_id);
+}
+
+void target_stage::apply_notice(target_notice n, const std::string& source) {
+  if (n.rate_limit_per_s != m_notice.rate_limit_per_s) {
+    m_hooks.log(n.rate_limit_per_s ? event_id::target_rate_limited
+                                   : event_id::target_rate_unlimited,
+                {{"instance", m_instance},
+                 {"source", source},
+                 {"rate_per_s", std::to_string(n.rate_limit_per_s.value_or(0))},
+                 {"in_flight", std::to_string(m_runs.size())}});
+  }
+  if (n.leaving && !m_notice.leaving) {
     m_hooks.log(event_id::target_leaving,
-                {{"instance", m_instance}, {"request", r.request_id}});
+                {{"instance", m_instance}, {"source", source}});
   }
   // An instance that leaves does not return.
-  stated->leaving |= m_notice.leaving;
-  m_target_draining |= stated->leaving;
-  m_notice = *stated;
+  n.leaving |= m_notice.leaving;
+  m_target_draining |= n.leaving;
+  m_notice = n;
   m_rate_limit.set(m_notice.rate_limit_per_s, m_clock.now);
 }
 
+void target_stage::on_reported_notice(const wire::target_noticeT& n) {
+  if (n.instance != m_instance || n.start_time_ms != m_start_time_ms) {
+    return;
+  }
+  target_notice reported = m_notice;
+  reported.leaving |= n.leaving;
+  if (!m_instance_answered && n.rate_limit_per_s >= 0) {
+    reported.rate_limit_per_s = n.rate_limit_per_s;
+  }
+  apply_notice(reported, "peer");
+}
+
+std::unique_ptr<wire::target_noticeT> target_stage::notice_to_report() const {
+  if (m_notice.empty()) {
+    return nullptr;
+  }
+  std::unique_ptr<wire::target_noticeT> out =
+      std::make_unique<wire::target_noticeT>();
+  out->instance = m_instance;
+  out->start_time_ms = m_start_time_ms;
+  out->rate_limit_per_s = m_notice.rate_limit_per_s.value_or(-1);
+  out->leaving = m_notice.leaving;
+  return out;
+}
+
 outcome target_stage::make_outcome(const run& r, target_result result,
                                    bool moved) const {
   switch (result.end) {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -147,6 +148,11 @@
   /// more requests until another instance announces itself.
   void on_deregister(const std::string& instance, std::uint64_t start_time_ms);
 
+  /// Handles what another node knows of the target from replies of an earlier
+  /// process of this node. Ignored for another instance; a rate limit also
+  /// once the instance has answered this process.
+  void on_reported_notice(const wire::target_noticeT& n);
+
   /// Detects that the target has become silent, and starts or refuses queued
   /// requests.
   void tick();
@@ -189,6 +195,10 @@
   bool idle() const { return m_runs.empty() && m_queue.size() == 0; }
   /// What the target stated in its last answer.
   const target_notice& notice() const { return m_notice; }
+  /// The same for other nodes; null if it stated nothing.
+  std::unique_ptr<wire::target_noticeT> notice_to_report() const;
+  /// Whether the current instance has answered this process.
+  bool has_answered() const { return m_instance_answered; }
   /// Requests sent to the target so far.
   std::uint64_t started() const { return m_started; }
   span_retry_budget& span_retry_budgets() { return m_span_retry_budgets; }
@@ -233,6 +243,8 @@
   bool failed_on_nested_overload(const run& r, const outcome& o) const;
   /// Applies what the target states about itself in the answer of a run.
   void update_notice(const run& r, const target_result& result);
+  /// `source`: the request, or "peer", for the log.
+  void apply_notice(target_notice n, const std::string& source);
   void log_failed_run(const run& r, const target_result& result, bool moved);
   crash_detector::digests_by_run running_digests() const;
   bool suspect_running() const { return m_suspect_run != 0; }
