HTTP client: bound the memory and time of responses without end

A target in trouble may send bytes without end, in a head or a body. The node beside it grew by 8 MB for each request in progress (40 requests: over 64 MB), and by what came until the deadline for a chunk size, a chunk extension or trailers without end. A head that announces a body of 100 GB ended the node: Boost 1.74 reserves that length before it compares it with the parser's limit (std::bad_alloc, traced with a debugger). An interim answer (1xx) went to the caller as if it were the answer.

Class: a reader whose limit is per message, or holds for one part of it only.

Change: bounded_body allocates for bytes that came, up to its own limit; the buffer of bytes that are not parsed yet is bounded; all responses that a client is reading share 32 MB, beyond which the exchange with the largest one ends; interim answers and answers to other requests are skipped, at most 16. An exchange that ends so is lost at once, not at its deadline, and its caller is answered or its request retried as after any lost connection.

endless_response.*: before, six of nine failed, one of them by ending the process; now nine pass. 132 unit tests.

--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -1,6 +1,7 @@
 // Exchanges and idle connections of the HTTP client, on Boost.Beast.
 #include "kingcupslip/net/http_client.hpp"
 
+#include "kingcupslip/net/bounded_body.hpp"
 #include "kingcupslip/net/socket_options.hpp"
 
 #include <algorithm>
@@ -28,6 +29,13 @@
 constexpr duration default_idle_timeout = std::chrono::seconds(4);
 constexpr duration idle_timeout_margin = std::chrono::seconds(2);
 constexpr std::uint32_t max_header_bytes = 64 * 1024;
+/// For what is read but not parsed yet: a head, or a line of a chunked body.
+constexpr std::size_t max_unparsed_bytes = 2UL * max_header_bytes;
+/// Of all responses that are being read. A target whose responses do not end
+/// must not use up the memory of the node.
+constexpr std::size_t max_buffered_response_bytes = 32UL * 1024 * 1024;
+/// Interim responses and those to other requests that may precede a response.
+constexpr std::size_t max_skipped_responses = 16;
 
 /// The idle timeout that a peer advertises in `Keep-Alive`, less a margin so
 /// that the client does not reuse a connection that the peer is closing.
@@ -110,6 +118,8 @@
             {}});
   }
 
+  std::size_t buffered_bytes() const { return m_buffered_bytes; }
+
   void detach() {
     m_on_complete = nullptr;
     cancel();
@@ -137,12 +147,28 @@
   void read() {
     m_parser.emplace();
     m_parser->header_limit(max_header_bytes);
-    m_parser->body_limit(m_client.m_max_response_bytes);
+    m_parser->body_limit(boost::none);
+    m_parser->get().body().max_bytes = m_client.m_max_response_bytes;
     m_parser->skip(m_request.method() == http::verb::head);
+    read_some();
+  }
+
+  void read_some() {
     const std::shared_ptr<http_exchange> self = shared_from_this();
-    http::async_read(
+    http::async_read_some(
         *m_socket, m_buffer, *m_parser,
-        [self](const error_code& ec, std::size_t) { self->on_read(ec); });
+        [self](const error_code& ec, std::size_t) { self->on_read_some(ec); });
+  }
+
+  void on_read_some(const error_code& ec) {
+    if (m_on_complete) {
+      set_buffered_bytes(m_parser->get().body().bytes.size());
+    }
+    if (!ec && m_on_complete && !m_parser->is_done()) {
+      read_some();
+      return;
+    }
+    on_read(ec);
   }
 
   void on_read(const error_code& ec) {
@@ -150,13 +176,15 @@
       finish({exchange_end::lost, 0, {}, {}});
       return;
     }
-    http::response<byte_body> response = m_parser->release();
+    http::response<bounded_body> response = m_parser->release();
     const bool is_for_another_request =
         !m_correlation_header.name.empty() &&
         response.count(m_correlation_header.name) != 0 &&
         response[m_correlation_header.name] != m_correlation_header.value;
-    if (is_for_another_request) {
-      read();
+    const bool is_interim = http::to_status_class(response.result()) ==
+                            http::status_class::informational;
+    if (is_for_another_request || is_interim) {
+      skip_response();
       return;
     }
     target_result out;
@@ -167,7 +195,7 @@
           {std::string(it.name_string()), std::string(it.value())});
     }
     const bool reusable = response.keep_alive() && m_buffer.size() == 0;
-    out.body = std::move(response.body());
+    out.body = std::move(response.body().bytes);
     if (reusable) {
       m_client.add_idle_connection(
           std::move(m_socket),
@@ -176,7 +204,24 @@
     finish(std::move(out));
   }
 
+  void skip_response() {
+    if (++m_skipped_responses > max_skipped_responses) {
+      finish({exchange_end::lost, 0, {}, {}});
+      return;
+    }
+    read();
+  }
+
+  /// May end this exchange, if its response takes most of the memory.
+  void set_buffered_bytes(std::size_t n) {
+    m_client.m_buffered_bytes += n;
+    m_client.m_buffered_bytes -= m_buffered_bytes;
+    m_buffered_bytes = n;
+    m_client.limit_buffered_bytes();
+  }
+
   void finish(target_result result) {
+    m_client.m_buffered_bytes -= std::exchange(m_buffered_bytes, 0);
     if (m_socket) {
       error_code ignored;
       m_socket->close(ignored);
@@ -198,8 +243,10 @@
   asio::steady_timer m_timer;
   std::shared_ptr<tcp::socket> m_socket;
   http::request<byte_body> m_request;
-  boost::beast::flat_buffer m_buffer;
-  std::optional<http::response_parser<byte_body>> m_parser;
+  boost::beast::flat_buffer m_buffer{max_unparsed_bytes};
+  std::optional<http::response_parser<bounded_body>> m_parser;
+  std::size_t m_buffered_bytes = 0;
+  std::size_t m_skipped_responses = 0;
   header m_correlation_header;
   instant m_started_at{0};
   bool m_reused = false;
@@ -241,6 +288,24 @@
   }
 }
 
+void http_client::limit_buffered_bytes() {
+  while (m_buffered_bytes > max_buffered_response_bytes) {
+    std::shared_ptr<http_exchange> largest;
+    for (const std::pair<const std::uint64_t, std::weak_ptr<http_exchange>>&
+             it : m_exchanges) {
+      const std::shared_ptr<http_exchange> exchange = it.second.lock();
+      const bool larger =
+          exchange &&
+          (!largest || exchange->buffered_bytes() > largest->buffered_bytes());
+      largest = larger ? exchange : largest;
+    }
+    if (!largest) {
+      return;
+    }
+    largest->cancel();
+  }
+}
+
 std::shared_ptr<tcp::socket> http_client::take_idle_connection() {
   const instant now = read_clocks().now;
   while (!m_idle.empty()) {
--- a/src/kingcupslip/net/http_client.hpp
+++ b/src/kingcupslip/net/http_client.hpp
@@ -64,10 +64,15 @@
   /// be dead in the same way.
   void discard_idle_before(instant cutoff);
 
+  /// Ends the exchanges with the largest responses, as long as the responses
+  /// that are being read take too much memory.
+  void limit_buffered_bytes();
+
   io_loop& m_loop;
   boost::asio::ip::tcp::endpoint m_endpoint;
   std::size_t m_max_response_bytes;
   std::uint64_t m_connections_opened = 0;
+  std::size_t m_buffered_bytes = 0; ///< of responses that are being read
   std::list<idle_connection> m_idle;
   std::map<std::uint64_t, std::weak_ptr<http_exchange>> m_exchanges;
 };
--- /dev/null
+++ b/tests/net/endless_response_test.cpp
@@ -0,0 +1,183 @@
+// Tests servers that send bytes without end: the memory and the time that an
+// exchange takes are bounded, and its caller gets a result.
+#include "kingcupslip/net/http_client.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <malloc.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace kingcupslip;
+using std::chrono::milliseconds;
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+/// Answers each request with a text, followed by a repeated text until the
+/// client closes the connection.
+class endless_server {
+public:
+  endless_server(io_loop& loop, std::string first, const std::string& repeated)
+      : m_loop(loop), m_first(std::move(first)),
+        m_acceptor(loop, {asio::ip::address_v4::loopback(), 0}) {
+    while (m_block.size() < block_bytes) {
+      m_block += repeated;
+    }
+    accept();
+  }
+
+  tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+private:
+  static constexpr std::size_t block_bytes = 64UL * 1024;
+  struct connection {
+    explicit connection(io_loop& loop) : socket(loop) {}
+    tcp::socket socket;
+    asio::streambuf request;
+  };
+
+  void accept() {
+    const std::shared_ptr<connection> c = std::make_shared<connection>(m_loop);
+    m_acceptor.async_accept(c->socket, [this, c](const error_code& ec) {
+      if (ec) {
+        return;
+      }
+      asio::async_read_until(c->socket, c->request, "\r\n\r\n",
+                             [this, c](const error_code& error, std::size_t) {
+                               if (!error) {
+                                 write(c, m_first);
+                               }
+                             });
+      accept();
+    });
+  }
+
+  void write(const std::shared_ptr<connection>& c, const std::string& text) {
+    asio::async_write(c->socket, asio::buffer(text),
+                      [this, c](const error_code& ec, std::size_t) {
+                        if (!ec) {
+                          write(c, m_block);
+                        }
+                      });
+  }
+
+  io_loop& m_loop;
+  std::string m_first;
+  std::string m_block;
+  tcp::acceptor m_acceptor;
+};
+
+struct endless_case {
+  const char* name;
+  std::string first;
+  std::string repeated;
+};
+
+const std::string ok_line = "HTTP/1.1 200 OK\r\n";
+
+const std::string chunked_head = ok_line + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string other_answer =
+    ok_line + "Request-Id: other\r\nContent-Length: 2\r\n\r\nab";
+
+constexpr milliseconds time_left{2000};
+constexpr milliseconds scheduling_slack{500};
+constexpr std::size_t concurrent_requests = 40;
+/// A node has 160 MB or more, of which answers may take a part.
+constexpr std::size_t max_memory_growth = 64UL * 1024 * 1024;
+
+std::size_t heap_bytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+/// Sends requests to a server of this kind and checks that each of them ends
+/// in time, that no answer is made of the bytes, and how much memory they took.
+void check_ends(const endless_case& c) {
+  io_loop loop;
+  endless_server server(loop, c.first, c.repeated);
+  http_client client(loop, server.endpoint());
+  std::vector<target_result> results;
+  const std::size_t heap_before = heap_bytes();
+  const instant started_at = read_clocks().now;
+  for (std::size_t i = 0; i < concurrent_requests; ++i) {
+    target_request r;
+    r.method = "GET";
+    r.path = "/";
+    r.time_left = time_left;
+    r.echoed_header = {"Request-Id", "own"};
+    client.send(i + 1, std::move(r), [&results](target_result t) {
+      results.push_back(std::move(t));
+    });
+  }
+  std::size_t growth = 0;
+  const instant end = started_at + time_left + scheduling_slack;
+  while (results.size() < concurrent_requests && read_clocks().now < end) {
+    loop.run_one_for(milliseconds(10));
+    const std::size_t now_used = heap_bytes();
+    growth = std::max(growth, now_used - std::min(now_used, heap_before));
+  }
+  LONGS_EQUAL_TEXT(concurrent_requests, results.size(), c.name);
+  CHECK_TEXT(growth <= max_memory_growth, c.name);
+  for (const target_result& r : results) {
+    CHECK_TEXT(exchange_end::lost == r.end, c.name);
+  }
+}
+
+} // namespace
+
+// Answers without end filled the memory of the node.
+// clang-format off
+TEST_GROUP(endless_response){
+};
+// clang-format on
+
+TEST(endless_response, a_head_without_end_ends_its_request) {
+  check_ends({"no status line", "xxxx", "x"});
+  check_ends({"one header line", ok_line + "A: ", "a"});
+  check_ends({"header lines", ok_line, "A: b\r\n"});
+}
+
+TEST(endless_response, a_body_without_a_length_and_end_ends_its_request) {
+  check_ends({"no length", ok_line + "\r\n", "body"});
+}
+
+TEST(endless_response, a_body_of_huge_length_ends_its_request) {
+  check_ends(
+      {"huge length", ok_line + "Content-Length: 99999999999\r\n\r\n", "body"});
+}
+
+TEST(endless_response, chunks_without_end_end_their_request) {
+  check_ends({"chunks", chunked_head, "4\r\nbody\r\n"});
+}
+
+TEST(endless_response, a_chunk_extension_without_end_ends_its_request) {
+  check_ends({"chunk extension", chunked_head + "4;a=", "b"});
+}
+
+TEST(endless_response, a_chunk_size_without_end_ends_its_request) {
+  check_ends({"chunk size", chunked_head, "0"});
+}
+
+TEST(endless_response, trailers_without_end_end_their_request) {
+  check_ends({"trailers", chunked_head + "0\r\n", "A: b\r\n"});
+}
+
+TEST(endless_response, interim_answers_without_end_end_their_request) {
+  check_ends({"interim answers", "HTTP/1.1 100 Continue\r\n\r\n",
+              "HTTP/1.1 100 Continue\r\n\r\n"});
+}
+
+TEST(endless_response, answers_to_other_requests_end_their_request) {
+  check_ends({"other answers", other_answer, other_answer});
+}
