--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -1,6 +1,7 @@
 // Connections of the HTTP server, on Boost.Beast.
 #include "kingcupslip/net/http_server.hpp"
 
+#include "kingcupslip/net/bounded_body.hpp"
 #include "kingcupslip/net/problem.hpp"
 #include "kingcupslip/net/socket_options.hpp"
 
@@ -21,6 +22,10 @@
 using error_code = boost::system::error_code;
 using byte_body = http::vector_body<std::uint8_t>;
 
+/// What is read but not parsed yet, a head or a line of a chunked body, takes
+/// at most this many times the limit of a head.
+constexpr std::size_t unparsed_heads = 2;
+
 /// The reason for which a request that could not be read is refused; null if
 /// the connection closes without a response.
 std::optional<reason> reason_for(const error_code& ec) {
@@ -53,7 +58,8 @@
       : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
         m_limits(limits), m_hooks(std::move(hooks)),
         m_open_connections(std::move(open_connections)),
-        m_keep_alive_disabled(std::move(keep_alive_disabled)), m_id(id) {
+        m_keep_alive_disabled(std::move(keep_alive_disabled)), m_id(id),
+        m_buffer(unparsed_heads * m_limits.max_header_bytes) {
     ++*m_open_connections;
     set_socket_options(m_socket);
   }
@@ -89,7 +95,8 @@
     m_parser.emplace();
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_limits.max_header_bytes));
-    m_parser->body_limit(m_limits.max_body_bytes);
+    m_parser->body_limit(boost::none);
+    m_parser->get().body().max_bytes = m_limits.max_body_bytes;
     start_timer(m_limits.request_timeout, [](http_session& s) {
       error_code ignored;
       s.m_timed_out = true;
@@ -113,7 +120,7 @@
       why ? refuse(*why) : close();
       return;
     }
-    http::request<byte_body> request = m_parser->release();
+    http::request<bounded_body> request = m_parser->release();
     m_keep_alive = request.keep_alive();
     m_is_head_request = request.method() == http::verb::head;
     caller_request r;
@@ -124,7 +131,7 @@
       r.headers.push_back(
           {std::string(it.name_string()), std::string(it.value())});
     }
-    r.body = std::move(request.body());
+    r.body = std::move(request.body().bytes);
     m_handling_request = true;
     watch_for_disconnect();
     const std::shared_ptr<http_session> self = shared_from_this();
@@ -215,7 +222,7 @@
   std::shared_ptr<bool> m_keep_alive_disabled;
   std::uint64_t m_id;
   boost::beast::flat_buffer m_buffer;
-  std::optional<http::request_parser<byte_body>> m_parser;
+  std::optional<http::request_parser<bounded_body>> m_parser;
   http::response<byte_body> m_response;
   bool m_keep_alive = true;
   bool m_is_head_request = false;
