--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -383,6 +383,48 @@
         deep_capacity * 0.8);
 }
 
+// A target that refused a route at once looked idle and attracted requests
+// that another target could have served.
+TEST(routed_node, a_target_that_refuses_a_route_does_not_attract_its_requests) {
+  // The calls of a1 go to a service that has capacity for few of them.
+  routed_fleet f(30);
+  f.slots = 0;
+  route_table::content routes = simple_routes();
+  host_route deep = routes.routes.back();
+  deep.name = "deep";
+  deep.path_prefix = "/deep/";
+  deep.services = {{"deep", 1}};
+  routes.routes.push_back(deep);
+  routes.routes[1].urgency = 2;
+  f.write_routes(routes);
+  fake_target::options small;
+  small.slots = 1;
+  small.service_time = milliseconds(250);
+  f.add("c1", "dc-a", "deep", small);
+  f.add("a1", "dc-a", "svc", fake_target::options{200});
+  f.add("a2", "dc-a", "svc", fake_target::options{200, milliseconds(500)});
+  f.add("a3", "dc-a", "svc", fake_target::options{200, milliseconds(500)});
+  std::vector<std::string> entries;
+  for (int i = 1; i <= 16; ++i) {
+    entries.push_back("e" + std::to_string(i));
+    f.add(entries.back(), "dc-a", "other");
+  }
+  f.target("a1").request_handler =
+      [&f](const target_request&,
+           const std::function<void(std::uint16_t)>& done) {
+        f.request(
+            "a1", "/deep/x", "",
+            [done](const outcome& o) {
+              done(o.refusal_reason == reason::none ? 200 : 500);
+            },
+            milliseconds(300));
+      };
+  f.run_for(seconds(3));
+  routed_load load(f, entries, "/once/x", 300, seconds(20));
+  f.run_for(seconds(22));
+  CHECK(load.ran * 100 >= load.sent * 85);
+}
+
 TEST(routed_node, a_graceful_stop_finishes_running_requests) {
   routed_fleet f(16);
   build_routed_fleet(f, 2);
