HTTP: messages with a body are read again; sessions for what targets state

The parser keeps its limit beside that of bounded_body, and http_client.a_body_passes_whole_in_both_directions, which failed before, guards it.

New sessions with real processes: adapter_target_notices (a limit is passed on, kept and ended; an endpoint that leaves gets nothing more, its next instance does) and adapter_endless_answers (head, body, chunks, chunk extension and a huge length: each caller gets 502, 503 or 504 in time, the nodes' peak memory stays below 100 MB).

--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -147,7 +147,7 @@
   void read() {
     m_parser.emplace();
     m_parser->header_limit(max_header_bytes);
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(m_client.m_max_response_bytes);
     m_parser->get().body().max_bytes = m_client.m_max_response_bytes;
     m_parser->skip(m_request.method() == http::verb::head);
     read_some();
--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -95,7 +95,7 @@
     m_parser.emplace();
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_limits.max_header_bytes));
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(m_limits.max_body_bytes);
     m_parser->get().body().max_bytes = m_limits.max_body_bytes;
     start_timer(m_limits.request_timeout, [](http_session& s) {
       error_code ignored;
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -24,7 +24,7 @@
       "127.0.0.1",
       0,
       {},
-      {[this](const caller_request&, const response_sender& send) {
+      {[this](const caller_request& r, const response_sender& send) {
          held_answers.push_back(send);
          if (held_answers.size() < batch_size) {
            return;
@@ -33,6 +33,7 @@
            outcome o;
            o.execution = verdict::ran;
            o.status = 200;
+           o.body = r.body;
            it(std::move(o));
          }
          held_answers.clear();
@@ -113,3 +114,20 @@
   s.run_for(milliseconds(100));
   LONGS_EQUAL(connects, s.client.connections_opened());
 }
+
+// A limit on bodies refused every body.
+TEST(http_client, a_body_passes_whole_in_both_directions) {
+  relayed_server s;
+  body_bytes sent(100'000, 'a');
+  sent.back() = 'z';
+  body_bytes received;
+  target_request r;
+  r.method = "POST";
+  r.path = "/";
+  r.time_left = milliseconds(1000);
+  r.body = sent;
+  s.client.send(1, std::move(r),
+                [&received](target_result t) { received = std::move(t.body); });
+  s.run_for(milliseconds(300));
+  CHECK(sent == received);
+}
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -101,6 +101,11 @@
         finally:
             connection.close()
 
+    def peak_memory_kb(self):
+        with open(f"/proc/{self.process.pid}/status") as status:
+            return next(int(line.split()[1]) for line in status
+                        if line.startswith("VmHWM"))
+
     def event_names(self):
         """Returns the names of the events that the node has logged."""
         with open(self.log.name) as lines:
@@ -224,6 +229,80 @@
         self.heartbeats_enabled = True
         self.wait(lambda: self.send("/safe/a")[0] == 200)
 
+    def send_many(self, count, interval):
+        """Sends idempotent requests at even intervals; returns statuses."""
+        got = []
+        threads = []
+        for i in range(count):
+            threads.append(threading.Thread(
+                target=lambda i=i: got.append(
+                    self.send("/safe/a", node=i % 2)[0])))
+            threads[-1].start()
+            time.sleep(interval)
+        for it in threads:
+            it.join()
+        return got
+
+    def target_notices(self):
+        """Endpoints that ask for a lower rate, and that say they leave."""
+        limited, other = (n.endpoint for n in self.nodes)
+        limited.stated = [("Server-Limit", "2.5")]
+        yield "passed on", self.wait(
+            lambda: self.send("/safe/a")[1].get("Server-Limit") == "2.5")
+        time.sleep(1)
+        before = len(limited.requests)
+        statuses = self.send_many(80, 0.05)
+        yield "answered", set(statuses)
+        yield "within the limit", len(limited.requests) - before <= 2.5 * 6 + 5
+        yield "and used", len(limited.requests) > before
+        limited.stated = []
+        yield "limit ends", self.wait(
+            lambda: self.send("/safe/a")[0] == 200
+            and "target_rate_unlimited" in self.nodes[0].event_names())
+        other.stated = [("Server-Leaving", "1")]
+        yield "leaves", self.wait(
+            lambda: self.send("/safe/a")[1].get("Server-Leaving") == "1")
+        time.sleep(0.5)
+        before = len(other.requests)
+        yield "answered", set(self.send_many(20, 0.02))
+        yield "requests after", len(other.requests) - before
+        other.stated = []
+        other.instance += "-next"
+        other.born += 1
+        yield "next instance", self.wait(
+            lambda: self.send("/safe/a", node=1)[0] == 200
+            and len(other.requests) > before)
+
+    def endless_answers(self):
+        """Answers without end: the caller is answered, memory is bounded."""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for name, answer in (
+                ("head", (b"HTTP/1.1 200 OK\r\nA: ", b"a")),
+                ("body", (b"HTTP/1.1 200 OK\r\n\r\n", b"b")),
+                ("chunks", (chunked, b"4\r\nbody\r\n")),
+                ("chunk extension", (chunked + b"4;a=", b"b")),
+                ("huge length", (b"HTTP/1.1 200 OK\r\nContent-Length: "
+                                 b"99999999999\r\n\r\n", b"b"))):
+            for n in self.nodes:
+                n.endpoint.endless_answer = answer
+            began = time.monotonic()
+            threads = []
+            got = []
+            for i in range(12):
+                threads.append(threading.Thread(
+                    target=lambda i=i: got.append(
+                        self.send("/once/a", node=i % 2)[0])))
+                threads[-1].start()
+            for it in threads:
+                it.join()
+            yield name, (set(got) <= {502, 503, 504}, len(got),
+                         time.monotonic() - began < 2.5)
+        for n in self.nodes:
+            n.endpoint.endless_answer = None
+        yield "peak memory below 100 MB", all(
+            n.peak_memory_kb() < 100_000 for n in self.nodes)
+        yield "served", self.wait(lambda: self.send("/safe/a")[0] == 200)
+
     def check_ins(self):
         """Invalid heartbeats and a heartbeat of another endpoint."""
         n = self.nodes[0]
@@ -328,7 +407,9 @@
 
     def run(self):
         failures = 0
-        for session in (self.requests, self.faulty_endpoints, self.check_ins,
+        for session in (self.requests, self.faulty_endpoints,
+                        self.target_notices, self.endless_answers,
+                        self.check_ins,
                         self.reload, self.changes, self.outage,
                         self.graceful_stop, self.stalled_reader):
             began = time.monotonic()
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -198,6 +198,8 @@
         self.delay = 0.0
         self.answers_to_truncate = 0  # answers that end early
         self.answers_to_repeat = 0  # answers that another one follows
+        self.stated = []  # header fields about itself in each answer
+        self.endless_answer = None  # its start, and what is repeated after it
         endpoint = self
 
         class Handler(QuietHandler):
@@ -222,6 +224,13 @@
         if self.delay:
             time.sleep(self.delay)
         echo.append(("X-Kingcupslip-Server-Signature", "signed"))
+        echo += self.stated
+        if self.endless_answer:
+            start, repeated = self.endless_answer
+            call.close_connection = True
+            call.wfile.write(start)
+            while True:  # until the node closes the connection
+                call.wfile.write(repeated * 10000)
         if self.answers_to_truncate > 0:
             self.answers_to_truncate -= 1
             call.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nab")
