Balancer: a small target that failed earlier is still tried

Cause: the targets with room were told by their load with failures counted; with a limit of one request a single failure made a target full for good. Change: room is told by the requests in flight alone; failures still count in the choice between two.

--- a/src/kingcupslip/core/balancer.cpp
+++ b/src/kingcupslip/core/balancer.cpp
@@ -11,17 +11,25 @@
 /// From this load on, a local target is compared with one in another data
 /// centre.
 constexpr double overflow_load_threshold = 1.5;
-constexpr double full_load = 1;
 constexpr std::uint32_t max_counted_failures = 6;
 
 using candidate_list = std::vector<const target_candidate*>;
 
-/// The targets that are not full; all of them if all are.
+double known_in_flight(const target_candidate& t) {
+  // The report may or may not include the requests from this node, so the
+  // larger number is used. Their sum could count this node's own traffic
+  // twice.
+  return static_cast<double>(std::max(t.own_in_flight, t.reported_in_flight));
+}
+
+/// The targets that are not full; all of them if all are. Failures do not
+/// count: a small target would be left out for as long as they are remembered.
 candidate_list with_room(const candidate_list& from) {
   candidate_list out;
-  std::copy_if(
-      from.begin(), from.end(), std::back_inserter(out),
-      [](const target_candidate* t) { return relative_load(*t) <= full_load; });
+  std::copy_if(from.begin(), from.end(), std::back_inserter(out),
+               [](const target_candidate* t) {
+                 return known_in_flight(*t) < std::max(1.0, t->limit);
+               });
   return out.empty() ? from : out;
 }
 
@@ -41,11 +49,7 @@
 } // namespace
 
 double relative_load(const target_candidate& t) {
-  // The report may or may not include the requests from this node, so the
-  // larger number is used. Their sum could count this node's own traffic
-  // twice.
-  const std::size_t known = std::max(t.own_in_flight, t.reported_in_flight);
-  const double load = static_cast<double>(known + 1) / std::max(1.0, t.limit);
+  const double load = (known_in_flight(t) + 1) / std::max(1.0, t.limit);
   const std::uint32_t n = std::min(t.failures, max_counted_failures);
   return load * static_cast<double>(1U << n);
 }
--- a/tests/core/components_test.cpp
+++ b/tests/core/components_test.cpp
@@ -153,6 +153,41 @@
   CHECK_COMPARE(chosen["0"], <, 300);
 }
 
+// A target with a limit of one request got none while failures of it were
+// remembered, so that the end of its limit was not seen.
+TEST(components, a_small_target_that_failed_is_still_tried) {
+  std::vector<target_candidate> targets(2);
+  targets[0].node = "small";
+  targets[0].failures = 6;
+  targets[1].node = "large";
+  targets[1].limit = 100;
+  std::uint64_t state = 1;
+  const auto random = [&state] {
+    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
+    return state >> 33U;
+  };
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 1000; ++i) {
+    ++chosen[choose_target(targets, false, random)->node];
+  }
+  CHECK_COMPARE(chosen["small"], >, 100);
+}
+
+TEST(components, a_full_target_is_not_chosen_while_another_has_room) {
+  std::vector<target_candidate> targets(3);
+  targets[0].node = "full";
+  targets[0].reported_in_flight = 5;
+  targets[1] = targets[0];
+  targets[2].node = "free";
+  targets[2].limit = 10;
+  targets[2].own_in_flight = 9;
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    const target_candidate* t =
+        choose_target(targets, false, [&i] { return i++; });
+    CHECK(t->node == "free");
+  }
+}
+
 TEST(components, a_signed_context_verifies_and_any_change_is_rejected) {
   call_context c;
   c.team = "team-a";
