--- a/src/kingcupslip/core/desired_state.cpp
+++ b/src/kingcupslip/core/desired_state.cpp
@@ -32,26 +32,23 @@
 
 void desired_state::read_all() {
   m_request_pending = true;
-  m_hooks.read_all([this](watch_status status,
-                          const std::vector<desired_state_item>& items,
-                          std::uint64_t version) {
-    on_store_answer(status, items, version, true);
-  });
+  m_hooks.read_all(
+      [this](watch_status status, const std::vector<desired_state_item>& items,
+             store_position at) { on_store_answer(status, items, at, true); });
 }
 
 void desired_state::wait_for_changes() {
   m_request_pending = true;
-  m_hooks.wait_for_changes(m_cursor,
-                           [this](watch_status status,
-                                  const std::vector<desired_state_item>& items,
-                                  std::uint64_t version) {
-                             on_store_answer(status, items, version, false);
-                           });
+  m_hooks.wait_for_changes(
+      m_cursor,
+      [this](watch_status status, const std::vector<desired_state_item>& items,
+             store_position at) { on_store_answer(status, items, at, false); });
 }
 
 void desired_state::on_store_answer(
     watch_status status, const std::vector<desired_state_item>& items,
-    std::uint64_t version, bool complete) {
+    store_position at, bool complete) {
+  const std::uint64_t version = at.version;
   m_request_pending = false;
   if (status == watch_status::unavailable) {
     on_unavailable();
@@ -61,6 +58,7 @@
     m_store_unavailable = false;
     m_log(event_id::table_regained, {{"version", std::to_string(version)}});
   }
+  log_store_history(status, at);
   m_backoff = duration(0);
   m_confirmed_at = m_clock.now;
   if (status == watch_status::history_lost) {
@@ -91,6 +89,20 @@
   }
 }
 
+void desired_state::log_store_history(watch_status status, store_position at) {
+  if (m_timeline != 0 && at.timeline != m_timeline) {
+    m_log(event_id::table_restored,
+          {{"timeline", std::to_string(at.timeline)},
+           {"previous_timeline", std::to_string(m_timeline)},
+           {"version", std::to_string(at.version)},
+           {"cursor", std::to_string(m_cursor)}});
+  }
+  m_timeline = at.timeline;
+  if (status == watch_status::history_lost) {
+    m_log(event_id::table_history_lost, {{"cursor", std::to_string(m_cursor)}});
+  }
+}
+
 void desired_state::on_unavailable() {
   if (!m_store_unavailable) {
     m_store_unavailable = true;
@@ -108,6 +120,12 @@
 bool desired_state::apply_routes(std::uint64_t version,
                                  const std::string& text) {
   if (version <= m_routes_version) {
+    if (version < m_routes_version) {
+      m_log(event_id::config_outdated,
+            {{"sequence", std::to_string(version)},
+             {"current", std::to_string(m_routes_version)},
+             {"timeline", std::to_string(m_timeline)}});
+    }
     return false;
   }
   const std::shared_ptr<const route_table> table = m_hooks.decode(text);
--- a/src/kingcupslip/core/desired_state.hpp
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace kingcupslip {
@@ -29,6 +30,17 @@
   bool removed = false;
 };
 
+/// A point in the history of the store. A store that is restored from an older
+/// copy starts a new timeline, on which it gives out versions again.
+struct store_position {
+  std::uint64_t timeline = 0; ///< 0: the store does not number its timelines
+  std::uint64_t version = 0;  ///< of the newest change
+};
+
+inline bool operator<(const store_position& a, const store_position& b) {
+  return std::tie(a.timeline, a.version) < std::tie(b.timeline, b.version);
+}
+
 /// Result of a read of the store or of a wait for changes.
 enum class watch_status : std::uint8_t {
   ok,
@@ -38,7 +50,7 @@
 
 using watch_handler = std::function<void(watch_status status,
                                          std::vector<desired_state_item> items,
-                                         std::uint64_t version)>;
+                                         store_position at)>;
 
 /// Calls to the store.
 struct watch_hooks {
@@ -89,7 +101,8 @@
   void wait_for_changes();
   void on_store_answer(watch_status status,
                        const std::vector<desired_state_item>& items,
-                       std::uint64_t version, bool complete);
+                       store_position at, bool complete);
+  void log_store_history(watch_status status, store_position at);
   void on_unavailable();
   bool apply_routes(std::uint64_t version, const std::string& text);
   bool apply_marks(std::uint64_t version, std::set<std::string> out);
@@ -105,6 +118,7 @@
   std::uint64_t m_routes_version = 0;
   std::set<std::string> m_data_centres_out;
   std::uint64_t m_marks_version = 0;
+  std::uint64_t m_timeline = 0; ///< of the last answer of the store
   std::uint64_t m_cursor = 0;
   instant m_confirmed_at{0};
   instant m_next_request_at{0};
--- a/src/kingcupslip/core/route_table.hpp
+++ b/src/kingcupslip/core/route_table.hpp
@@ -70,6 +70,8 @@
 public:
   struct content {
     std::string version; ///< the operators' name for it, used in logs
+    /// Rises with each version that operators write; 0: not numbered.
+    std::uint64_t revision = 0;
     std::vector<host_route> routes;
     std::map<std::string, service_settings> services;
     std::vector<team_settings> teams;
@@ -79,6 +81,7 @@
   explicit route_table(content c);
 
   const std::string& version() const { return m_content.version; }
+  std::uint64_t revision() const { return m_content.revision; }
   const std::vector<host_route>& routes() const { return m_content.routes; }
   const std::vector<team_settings>& teams() const { return m_content.teams; }
   const caller_limits& limits() const { return m_content.limits; }
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -126,9 +126,9 @@
   const auto with_refreshed_clock = [this](watch_handler handler) {
     return
         [this, handler](watch_status s, std::vector<desired_state_item> items,
-                        std::uint64_t version) {
+                        store_position at) {
           refresh_clock();
-          handler(s, std::move(items), version);
+          handler(s, std::move(items), at);
         };
   };
   out.watch.read_all = [watch, with_refreshed_clock](watch_handler handler) {
--- a/tests/support/routed_fleet.cpp
+++ b/tests/support/routed_fleet.cpp
@@ -120,8 +120,8 @@
             items.push_back(it.second);
           }
         }
-        reached ? handler(watch_status::ok, items, m_version)
-                : handler(watch_status::unavailable, {}, 0);
+        reached ? handler(watch_status::ok, items, {timeline, m_version})
+                : handler(watch_status::unavailable, {}, {});
       });
     });
   };
@@ -149,12 +149,13 @@
                                        until] {
     if (!can_reach_store(name)) {
       run_in_node(name, generation,
-                  [handler] { handler(watch_status::unavailable, {}, 0); });
+                  [handler] { handler(watch_status::unavailable, {}, {}); });
       return;
     }
-    if (after < m_oldest_history_version) {
-      run_in_node(name, generation,
-                  [handler] { handler(watch_status::history_lost, {}, 0); });
+    if (after < m_oldest_history_version || after > m_version) {
+      run_in_node(name, generation, [handler, at_timeline = timeline] {
+        handler(watch_status::history_lost, {}, {at_timeline, 0});
+      });
       return;
     }
     std::vector<desired_state_item> changed;
@@ -167,9 +168,9 @@
       poll_watch(name, generation, after, handler, until);
       return;
     }
-    const std::uint64_t version = m_version;
-    run_in_node(name, generation, [handler, changed, version] {
-      handler(watch_status::ok, changed, version);
+    const store_position at{timeline, m_version};
+    run_in_node(name, generation, [handler, changed, at] {
+      handler(watch_status::ok, changed, at);
     });
   });
 }
@@ -279,11 +280,13 @@
 
 void routed_fleet::write_routes(route_table::content c) {
   ++m_version;
-  c.version = "v" + std::to_string(m_version);
+  c.revision = ++m_last_revision;
+  c.version = "v" + std::to_string(c.revision);
   const std::string text = c.version;
   m_documents[text] = std::make_shared<const route_table>(std::move(c));
   m_items["routes"] = {desired_state_item::kind::routes, "", text, m_version,
                        false};
+  m_written_items["routes"] = m_items["routes"];
 }
 
 void routed_fleet::mark_out(const std::string& data_centre, bool out) {
@@ -291,6 +294,24 @@
   m_items["out/" + data_centre] = {
       desired_state_item::kind::data_centre_out_of_service, data_centre, "",
       m_version, !out};
+  m_written_items["out/" + data_centre] = m_items["out/" + data_centre];
+}
+
+void routed_fleet::copy_store() {
+  m_store_copy = {m_items, m_version, row_store};
+}
+
+void routed_fleet::restore_store() {
+  m_items = m_store_copy.items;
+  m_version = m_store_copy.version;
+  row_store = m_store_copy.rows;
+  m_oldest_history_version = 0;
+  ++timeline;
+}
+
+void routed_fleet::write_again(const std::string& item) {
+  m_items[item] = m_written_items.at(item);
+  m_items[item].version = ++m_version;
 }
 
 void routed_fleet::compact() { m_oldest_history_version = ++m_version; }
--- a/tests/support/routed_fleet.hpp
+++ b/tests/support/routed_fleet.hpp
@@ -53,6 +53,12 @@
   /// Write to the store as operators do.
   void write_routes(route_table::content c);
   void mark_out(const std::string& data_centre, bool out);
+  /// Copies the store; `restore_store` brings the copy back, on a new timeline.
+  void copy_store();
+  void restore_store();
+  /// Writes the last value of an item again, as operators do after a restore:
+  /// "routes", or "out/" and the name of a data centre.
+  void write_again(const std::string& item);
   /// Drops the store's history, so that watches must read everything again.
   void compact();
 
@@ -76,6 +82,7 @@
   table_store row_store;
   bool store_down = false;
   std::set<std::string> cut_off_nodes; ///< nodes that cannot reach the store
+  std::uint64_t timeline = 1;          ///< of the store
   std::uint64_t store_calls = 0;       ///< by all nodes
   std::uint64_t bytes_sent = 0;        ///< in frames between nodes
   bool announcing = true;              ///< whether targets announce themselves
@@ -115,6 +122,15 @@
   std::set<std::pair<std::string, std::string>> m_blocked_links;
   std::map<std::string, std::shared_ptr<const route_table>> m_documents;
   std::map<std::string, desired_state_item> m_items;
+  /// The last values that were written, whatever the store still has.
+  std::map<std::string, desired_state_item> m_written_items;
+  struct store_copy {
+    std::map<std::string, desired_state_item> items;
+    std::uint64_t version = 0;
+    table_store rows;
+  };
+  store_copy m_store_copy;
+  std::uint64_t m_last_revision = 0;
   std::uint64_t m_version = 0;
   std::uint64_t m_oldest_history_version = 0;
 };
