Desired state: changes are ordered across restores of the store

Operators saw a change that the store had acknowledged in force nowhere for seconds, after the store had come back from an older copy.

Cause: row versions were compared over a restore, after which the store gives them out again. Class: numbers of one history compared with those of another. Ruled out by the logs: going back to the copy, and documents that cannot be decoded.

Change: positions in the store are (timeline, version), where a restore starts a timeline; an answer from a new one starts the watch over, and a late one from before is dropped. Documents are ordered by the operators' own revision, so the copy's document never replaces a newer one and the next change is newer whatever its row version. Nodes exchange both the same way, so that those cut off from the store follow.

Ruled out: taking the store's word after a restore (the copy would come into force until the operators have written again); keeping old marks for good (a mark that nobody writes again would never end).

--- a/src/kingcupslip/core/desired_state.cpp
+++ b/src/kingcupslip/core/desired_state.cpp
@@ -24,6 +24,12 @@
       m_random(std::move(random)), m_log(std::move(log)), m_clock(clock) {}
 
 void desired_state::tick() {
+  if (m_marks.settling()) {
+    apply([this] {
+      m_marks.tick(m_clock.now);
+      return false;
+    });
+  }
   if (m_request_pending || m_clock.now < m_next_request_at) {
     return;
   }
@@ -40,7 +46,7 @@
 void desired_state::wait_for_changes() {
   m_request_pending = true;
   m_hooks.wait_for_changes(
-      m_cursor,
+      m_cursor.version,
       [this](watch_status status, const std::vector<desired_state_item>& items,
              store_position at) { on_store_answer(status, items, at, false); });
 }
@@ -48,58 +54,91 @@
 void desired_state::on_store_answer(
     watch_status status, const std::vector<desired_state_item>& items,
     store_position at, bool complete) {
-  const std::uint64_t version = at.version;
   m_request_pending = false;
   if (status == watch_status::unavailable) {
     on_unavailable();
     return;
   }
+  if (at.timeline == 0) {
+    at.timeline = m_cursor.timeline;
+  }
+  if (at.timeline < m_cursor.timeline) {
+    // Sent before the restore and delayed.
+    return;
+  }
   if (m_store_unavailable) {
     m_store_unavailable = false;
-    m_log(event_id::table_regained, {{"version", std::to_string(version)}});
+    m_log(event_id::table_regained, {{"version", std::to_string(at.version)}});
   }
-  log_store_history(status, at);
   m_backoff = duration(0);
   m_confirmed_at = m_clock.now;
+  const bool restored = is_first_after_restore(at);
   if (status == watch_status::history_lost) {
+    m_log(event_id::table_history_lost,
+          {{"cursor", std::to_string(m_cursor.version)}});
+    m_next_request_at = m_clock.now + min_backoff;
+  }
+  if (status == watch_status::history_lost || (restored && !complete)) {
     m_snapshot_read = false;
+    m_cursor.version = 0;
     return;
   }
-  std::set<std::string> out =
-      complete ? std::set<std::string>{} : m_data_centres_out;
-  std::uint64_t new_marks_version = complete ? version : m_marks_version;
-  bool changed = false;
-  for (const desired_state_item& it : items) {
-    if (it.item_kind == desired_state_item::kind::routes) {
-      changed |= !it.removed && apply_routes(it.version, it.text);
-      continue;
-    }
-    if (it.removed) {
-      out.erase(it.name);
-    } else {
-      out.insert(it.name);
-    }
-    new_marks_version = std::max(new_marks_version, it.version);
-  }
-  changed |= apply_marks(new_marks_version, std::move(out));
-  m_cursor = std::max(m_cursor, version);
+  apply_items(items, at, complete);
+  m_cursor.version = std::max(m_cursor.version, at.version);
   m_snapshot_read = true;
-  if (changed && m_on_change) {
-    m_on_change();
-  }
 }
 
-void desired_state::log_store_history(watch_status status, store_position at) {
-  if (m_timeline != 0 && at.timeline != m_timeline) {
+bool desired_state::is_first_after_restore(store_position at) {
+  const bool restored =
+      m_cursor.timeline != 0 && at.timeline != m_cursor.timeline;
+  if (restored) {
     m_log(event_id::table_restored,
           {{"timeline", std::to_string(at.timeline)},
-           {"previous_timeline", std::to_string(m_timeline)},
+           {"previous_timeline", std::to_string(m_cursor.timeline)},
            {"version", std::to_string(at.version)},
-           {"cursor", std::to_string(m_cursor)}});
+           {"cursor", std::to_string(m_cursor.version)}});
+    m_cursor.version = 0;
   }
-  m_timeline = at.timeline;
-  if (status == watch_status::history_lost) {
-    m_log(event_id::table_history_lost, {{"cursor", std::to_string(m_cursor)}});
+  m_cursor.timeline = at.timeline;
+  if (restored && m_on_store_restored) {
+    m_on_store_restored();
+  }
+  return restored;
+}
+
+void desired_state::apply_items(const std::vector<desired_state_item>& items,
+                                store_position at, bool complete) {
+  apply([this, &items, at, complete] {
+    bool changed = false;
+    out_marks::mark_versions all_marks;
+    for (const desired_state_item& it : items) {
+      if (it.item_kind == desired_state_item::kind::routes) {
+        changed |=
+            !it.removed && apply_routes({at.timeline, it.version}, it.text);
+      } else if (complete) {
+        all_marks[it.name] = it.version;
+      } else {
+        m_marks.apply_change(it.name, it.version, it.removed);
+      }
+    }
+    if (complete) {
+      m_marks.apply_all(at, std::move(all_marks), m_clock.now);
+    }
+    return changed;
+  });
+}
+
+void desired_state::apply(const std::function<bool()>& change) {
+  const std::set<std::string> out_before = m_marks.out();
+  bool changed = change();
+  if (m_marks.out() != out_before) {
+    changed = true;
+    m_log(event_id::data_centres_out,
+          {{"sequence", std::to_string(m_marks.position().version)},
+           {"out", join_with_commas(m_marks.out())}});
+  }
+  if (changed && m_on_change) {
+    m_on_change();
   }
 }
 
@@ -107,7 +146,7 @@
   if (!m_store_unavailable) {
     m_store_unavailable = true;
     m_log(event_id::table_lost,
-          {{"cursor", std::to_string(m_cursor)},
+          {{"cursor", std::to_string(m_cursor.version)},
            {"age_ms", std::to_string(age() / std::chrono::milliseconds(1))}});
   }
   m_backoff = std::min(max_backoff, std::max(min_backoff, m_backoff * 2));
@@ -117,61 +156,63 @@
                       duration(static_cast<duration::rep>(jitter));
 }
 
-bool desired_state::apply_routes(std::uint64_t version,
-                                 const std::string& text) {
-  if (version <= m_routes_version) {
-    if (version < m_routes_version) {
-      m_log(event_id::config_outdated,
-            {{"sequence", std::to_string(version)},
-             {"current", std::to_string(m_routes_version)},
-             {"timeline", std::to_string(m_timeline)}});
-    }
+bool desired_state::apply_routes(store_position at, const std::string& text) {
+  if (m_routes && text == m_routes_document) {
+    m_routes_position = std::max(m_routes_position, at);
     return false;
   }
   const std::shared_ptr<const route_table> table = m_hooks.decode(text);
   if (!table) {
-    m_log(event_id::config_unreadable, {{"version", std::to_string(version)}});
+    m_log(event_id::config_unreadable,
+          {{"version", std::to_string(at.version)}});
+    return false;
+  }
+  if (m_routes && !(current_routes() < routes_order{table->revision(), at})) {
+    m_log(event_id::config_outdated, {{"sequence", std::to_string(at.version)},
+                                      {"timeline", std::to_string(at.timeline)},
+                                      {"version", table->version()},
+                                      {"current", m_routes->version()}});
     return false;
   }
   m_routes = table;
   m_routes_document = text;
-  m_routes_version = version;
-  m_log(event_id::config_applied,
-        {{"sequence", std::to_string(version)}, {"version", table->version()}});
+  m_routes_position = at;
+  m_log(event_id::config_applied, {{"sequence", std::to_string(at.version)},
+                                   {"timeline", std::to_string(at.timeline)},
+                                   {"version", table->version()}});
   return true;
 }
 
-bool desired_state::apply_marks(std::uint64_t version,
-                                std::set<std::string> out) {
-  if (version <= m_marks_version) {
-    return false;
-  }
-  m_marks_version = version;
-  if (out == m_data_centres_out) {
-    return false;
-  }
-  m_data_centres_out = std::move(out);
-  m_log(event_id::data_centres_out,
-        {{"sequence", std::to_string(version)},
-         {"out", join_with_commas(m_data_centres_out)}});
-  return true;
+routes_order desired_state::current_routes() const {
+  return m_routes ? routes_order{m_routes->revision(), m_routes_position}
+                  : routes_order{};
 }
 
 void desired_state::fill_gossip(wire::gossipT& g) const {
-  g.routes_version = m_routes_version;
-  g.marks_version = m_marks_version;
+  const routes_order routes = current_routes();
+  g.routes_revision = routes.revision;
+  g.routes_timeline = routes.position.timeline;
+  g.routes_version = routes.position.version;
+  g.marks_timeline = m_marks.position().timeline;
+  g.marks_version = m_marks.position().version;
 }
 
 void desired_state::on_gossip(const std::string& from, const wire::gossipT& g) {
   const bool behind =
-      g.routes_version > m_routes_version || g.marks_version > m_marks_version;
+      current_routes() < routes_order{g.routes_revision,
+                                      {g.routes_timeline, g.routes_version}} ||
+      m_marks.position() < store_position{g.marks_timeline, g.marks_version};
   if (!behind || m_clock.now - m_last_pull_at < min_pull_interval) {
     return;
   }
   m_last_pull_at = m_clock.now;
+  const routes_order routes = current_routes();
   wire::desired_state_pullT pull;
-  pull.routes_version = m_routes_version;
-  pull.marks_version = m_marks_version;
+  pull.routes_revision = routes.revision;
+  pull.routes_timeline = routes.position.timeline;
+  pull.routes_version = routes.position.version;
+  pull.marks_timeline = m_marks.position().timeline;
+  pull.marks_version = m_marks.position().version;
   wire::payloadUnion body;
   body.Set(std::move(pull));
   m_send(from, std::move(body));
@@ -180,14 +221,21 @@
 void desired_state::on_pull(const std::string& from,
                             const wire::desired_state_pullT& m) {
   wire::desired_stateT state;
-  if (m_routes_version > m.routes_version) {
-    state.routes_version = m_routes_version;
+  const routes_order peer_routes{m.routes_revision,
+                                 {m.routes_timeline, m.routes_version}};
+  if (peer_routes < current_routes()) {
+    state.routes_timeline = m_routes_position.timeline;
+    state.routes_version = m_routes_position.version;
     state.routes = m_routes_document;
   }
-  if (m_marks_version > m.marks_version) {
-    state.marks_version = m_marks_version;
-    state.data_centres_out.assign(m_data_centres_out.begin(),
-                                  m_data_centres_out.end());
+  if (store_position{m.marks_timeline, m.marks_version} < m_marks.position()) {
+    state.marks_timeline = m_marks.position().timeline;
+    state.marks_version = m_marks.position().version;
+    for (const std::pair<const std::string, std::uint64_t>& it :
+         m_marks.in_store()) {
+      state.data_centres_out.push_back(it.first);
+      state.mark_versions.push_back(it.second);
+    }
   }
   wire::payloadUnion body;
   body.Set(std::move(state));
@@ -195,13 +243,21 @@
 }
 
 void desired_state::on_desired_state(const wire::desired_stateT& m) {
-  bool changed = apply_routes(m.routes_version, m.routes);
-  changed |= apply_marks(m.marks_version,
-                         std::set<std::string>(m.data_centres_out.begin(),
-                                               m.data_centres_out.end()));
-  if (changed && m_on_change) {
-    m_on_change();
-  }
+  apply([this, &m] {
+    const bool changed =
+        !m.routes.empty() &&
+        apply_routes({m.routes_timeline, m.routes_version}, m.routes);
+    const store_position at{m.marks_timeline, m.marks_version};
+    if (m_marks.position() < at) {
+      out_marks::mark_versions marks;
+      for (std::size_t i = 0; i < m.data_centres_out.size(); ++i) {
+        marks[m.data_centres_out[i]] =
+            i < m.mark_versions.size() ? m.mark_versions[i] : 0;
+      }
+      m_marks.apply_all(at, std::move(marks), m_clock.now);
+    }
+    return changed;
+  });
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/desired_state.hpp
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -5,7 +5,9 @@
 
 #include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/message_sender.hpp"
+#include "kingcupslip/core/out_marks.hpp"
 #include "kingcupslip/core/route_table.hpp"
+#include "kingcupslip/core/store_position.hpp"
 #include "kingcupslip/core/time.hpp"
 #include "kingcupslip/wire/generated/messages.hpp"
 
@@ -30,17 +32,6 @@
   bool removed = false;
 };
 
-/// A point in the history of the store. A store that is restored from an older
-/// copy starts a new timeline, on which it gives out versions again.
-struct store_position {
-  std::uint64_t timeline = 0; ///< 0: the store does not number its timelines
-  std::uint64_t version = 0;  ///< of the newest change
-};
-
-inline bool operator<(const store_position& a, const store_position& b) {
-  return std::tie(a.timeline, a.version) < std::tie(b.timeline, b.version);
-}
-
 /// Result of a read of the store or of a wait for changes.
 enum class watch_status : std::uint8_t {
   ok,
@@ -63,10 +54,22 @@
   std::function<std::shared_ptr<const route_table>(const std::string&)> decode;
 };
 
+/// Orders documents of routes: by revision, and by position in the store where
+/// operators number no revisions.
+struct routes_order {
+  std::uint64_t revision = 0;
+  store_position position;
+};
+
+inline bool operator<(const routes_order& a, const routes_order& b) {
+  return std::tie(a.revision, a.position) < std::tie(b.revision, b.position);
+}
+
 /// Keeps the routes and the out-of-service marks of data centres up to date.
 ///
-/// Invariants: the versions of routes and marks never decrease; a document that
-/// cannot be decoded changes nothing.
+/// Invariants: the order of routes and the position of marks never decrease,
+/// also when the store is restored from an older copy; a document that cannot
+/// be decoded changes nothing.
 class desired_state {
 public:
   desired_state(watch_hooks hooks, message_sender send,
@@ -77,16 +80,21 @@
     m_on_change = std::move(hook);
   }
 
+  /// Called when the store has been restored from an older copy.
+  void set_on_store_restored(std::function<void()> hook) {
+    m_on_store_restored = std::move(hook);
+  }
+
   void tick();
 
   /// Null until a first version was received.
   const route_table* routes() const { return m_routes.get(); }
   std::shared_ptr<const route_table> shared_routes() const { return m_routes; }
   bool data_centre_out_of_service(const std::string& name) const {
-    return m_data_centres_out.count(name) != 0;
+    return m_marks.out().count(name) != 0;
   }
-  std::uint64_t routes_version() const { return m_routes_version; }
-  std::uint64_t marks_version() const { return m_marks_version; }
+  std::uint64_t routes_version() const { return m_routes_position.version; }
+  std::uint64_t store_timeline() const { return m_cursor.timeline; }
 
   /// Time since the store last answered, for logs and metrics.
   duration age() const { return m_clock.now - m_confirmed_at; }
@@ -102,10 +110,17 @@
   void on_store_answer(watch_status status,
                        const std::vector<desired_state_item>& items,
                        store_position at, bool complete);
-  void log_store_history(watch_status status, store_position at);
+  /// Whether an answer of the store is newer than a restore that is not known
+  /// yet; starts over on its timeline.
+  bool is_first_after_restore(store_position at);
+  void apply_items(const std::vector<desired_state_item>& items,
+                   store_position at, bool complete);
   void on_unavailable();
-  bool apply_routes(std::uint64_t version, const std::string& text);
-  bool apply_marks(std::uint64_t version, std::set<std::string> out);
+  /// Returns whether the document is now in force and was not before.
+  bool apply_routes(store_position at, const std::string& text);
+  routes_order current_routes() const;
+  /// Runs `change` and calls the hook if routes or marks have changed.
+  void apply(const std::function<bool()>& change);
 
   watch_hooks m_hooks;
   message_sender m_send;
@@ -113,13 +128,12 @@
   event_sink m_log;
   const clock_reading& m_clock;
   std::function<void()> m_on_change;
+  std::function<void()> m_on_store_restored;
   std::shared_ptr<const route_table> m_routes;
   std::string m_routes_document;
-  std::uint64_t m_routes_version = 0;
-  std::set<std::string> m_data_centres_out;
-  std::uint64_t m_marks_version = 0;
-  std::uint64_t m_timeline = 0; ///< of the last answer of the store
-  std::uint64_t m_cursor = 0;
+  store_position m_routes_position;
+  out_marks m_marks;
+  store_position m_cursor; ///< up to which the store has been read
   instant m_confirmed_at{0};
   instant m_next_request_at{0};
   instant m_last_pull_at{0};
