Members write their rows again after a restore of the store

A node that starts after a restore reads the members from the store; those that had joined since the copy was made were missing there for good.

--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -17,6 +17,8 @@
 constexpr std::string_view member_prefix = "member/";
 constexpr duration gossip_period = std::chrono::seconds(1);
 constexpr duration join_retry_period = std::chrono::seconds(1);
+constexpr duration row_write_retry_period = std::chrono::seconds(1);
+constexpr duration max_row_write_delay = std::chrono::seconds(2);
 constexpr std::size_t updates_per_gossip = 8;
 constexpr std::size_t samples_on_digest_mismatch = 16;
 constexpr std::size_t suspects_per_gossip = 4;
@@ -33,6 +35,10 @@
     m_next_join_at = m_clock.now + join_retry_period + duration(jitter);
     join();
   }
+  if (m_joined && !m_row_written && m_clock.now >= m_next_row_write_at) {
+    m_next_row_write_at = m_clock.now + row_write_retry_period;
+    write_member_row();
+  }
   m_dependencies.members.tick(m_clock.now);
   log_member_changes();
   if (m_clock.now < m_next_gossip_at) {
@@ -47,6 +53,16 @@
   probe_dead_member();
 }
 
+void gossip_agent::on_table_restored() {
+  m_row_written = false;
+  // All nodes learn of a restore at about the same time.
+  const std::uint64_t jitter =
+      m_dependencies.random() %
+      static_cast<std::uint64_t>(max_row_write_delay.count());
+  m_next_row_write_at =
+      m_clock.now + duration(static_cast<duration::rep>(jitter));
+}
+
 void gossip_agent::join() {
   write_member_row();
   m_dependencies.table.read(
--- a/src/kingcupslip/core/gossip_agent.hpp
+++ b/src/kingcupslip/core/gossip_agent.hpp
@@ -50,6 +50,10 @@
   /// Announces the service of this node's target.
   void set_service(const std::string& service);
 
+  /// The table was restored from an older copy, which may lack this node's row:
+  /// writes it again.
+  void on_table_restored();
+
   /// Gossips immediately to up to `max_count` random members.
   void gossip_to_random(std::size_t max_count);
 
@@ -75,6 +79,7 @@
   std::map<std::string, member_state> m_logged_states; ///< by member
   instant m_next_gossip_at{0};
   instant m_next_join_at{0};
+  instant m_next_row_write_at{0};
   std::uint64_t m_member_row_version = 0;
   bool m_joined = false;
   bool m_row_written = false;
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -74,6 +74,7 @@
           },
           m_local_target, m_hooks.send, m_clock) {
   m_state.set_on_change([this] { apply_desired_state(); });
+  m_state.set_on_store_restored([this] { m_gossip.on_table_restored(); });
 }
 
 void routed_node::tick() {
