--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -1,13 +1,43 @@
 // Runs random fault injection over a range of seeds and prints violations.
 #include "support/random_faults.hpp"
+#include "support/routed_faults.hpp"
 
 #include <CLI/CLI.hpp>
 
 #include <cstdint>
 #include <iostream>
 
+namespace {
+
+using namespace kingcupslip;
+
+/// Runs faults around routed nodes; returns how many seeds broke a promise.
+std::uint64_t soak_routed_nodes(std::uint64_t first, std::uint64_t count,
+                                duration span) {
+  routed_faults_result totals;
+  std::uint64_t failed_seeds = 0;
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    const routed_faults_result r = run_routed_faults(seed, span);
+    totals.requests += r.requests;
+    totals.ran += r.ran;
+    totals.limits_stated += r.limits_stated;
+    totals.restarts += r.restarts;
+    if (r.broken()) {
+      ++failed_seeds;
+      std::cout << "seed " << seed << " broke: limits exceeded "
+                << r.limits_exceeded << " after leaving "
+                << r.requests_after_leaving << std::endl;
+    }
+  }
+  std::cout << "seeds " << count << " requests " << totals.requests << " ran "
+            << totals.ran << " limits " << totals.limits_stated << " restarts "
+            << totals.restarts << " broken seeds " << failed_seeds << "\n";
+  return failed_seeds;
+}
+
+} // namespace
+
 int main(int argc, char** argv) {
-  using namespace kingcupslip;
   CLI::App app{"Runs random fault injection over a range of seeds"};
   std::uint64_t first = 1;
   std::uint64_t count = 10;
@@ -15,7 +45,14 @@
   app.add_option("--first", first);
   app.add_option("--count", count);
   app.add_option("--seconds", seconds, "of virtual time for each seed");
+  bool routed = false;
+  app.add_flag("--routed", routed, "nodes that route by host and path");
   CLI11_PARSE(app, argc, argv);
+  if (routed) {
+    return soak_routed_nodes(first, count, std::chrono::seconds(seconds)) == 0
+               ? 0
+               : 1;
+  }
   fault_injection_result totals;
   double max_rate_excess = -1e9;
   std::uint64_t failed_seeds = 0;
--- /dev/null
+++ b/tests/core/routed_faults_test.cpp
@@ -0,0 +1,21 @@
+// Runs random faults around routed nodes on a few seeds; bench/soak runs more.
+#include "support/routed_faults.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kingcupslip;
+
+// clang-format off
+TEST_GROUP(routed_faults){
+};
+// clang-format on
+
+TEST(routed_faults, limits_hold_for_seeds_1_to_8) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    const routed_faults_result r =
+        run_routed_faults(seed, std::chrono::seconds(60));
+    LONGS_EQUAL(0, r.limits_exceeded);
+    LONGS_EQUAL(0, r.requests_after_leaving);
+    CHECK(r.ran * 2 > r.requests);
+  }
+}
--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -86,7 +86,8 @@
   /// Runs started at this target, by idempotency key.
   std::map<std::string, int> runs_by_key;
   std::uint64_t total_runs = 0;
-  std::vector<instant> started_at; ///< when each run started
+  std::vector<instant> started_at;  ///< when each run started
+  std::vector<instant> answered_at; ///< when each answer was sent
   /// Header fields of each answer, as set when it is sent.
   std::vector<header> answer_headers;
   /// Filled if `keep_started_requests` is set.
@@ -145,6 +146,7 @@
       }
       --m_running;
       if (m_pending.erase(id) != 0) {
+        answered_at.push_back(m_scheduler.now());
         send_result(id, {exchange_end::answered, status, answer_headers, echo});
       }
       start_queued();
