Soak: changes of the configuration, outages and restores of the store

The run around routed nodes also changes the configuration, takes the store away and brings it back from an older copy, and checks that no node goes back to an older configuration and that each has the newest 2 s after it was acknowledged, if the node and the store have been there for 3 s.

--- a/bench/soak.cpp
+++ b/bench/soak.cpp
@@ -21,17 +21,20 @@
     totals.requests += r.requests;
     totals.ran += r.ran;
     totals.limits_stated += r.limits_stated;
+    totals.restores += r.restores;
     totals.restarts += r.restarts;
     if (r.broken()) {
       ++failed_seeds;
       std::cout << "seed " << seed << " broke: limits exceeded "
                 << r.limits_exceeded << " after leaving "
-                << r.requests_after_leaving << std::endl;
+                << r.requests_after_leaving << " reverted " << r.config_reverted
+                << " late " << r.config_late << std::endl;
     }
   }
   std::cout << "seeds " << count << " requests " << totals.requests << " ran "
-            << totals.ran << " limits " << totals.limits_stated << " restarts "
-            << totals.restarts << " broken seeds " << failed_seeds << "\n";
+            << totals.ran << " limits " << totals.limits_stated << " restores "
+            << totals.restores << " restarts " << totals.restarts
+            << " broken seeds " << failed_seeds << "\n";
   return failed_seeds;
 }
 
--- a/tests/core/routed_faults_test.cpp
+++ b/tests/core/routed_faults_test.cpp
@@ -10,12 +10,14 @@
 };
 // clang-format on
 
-TEST(routed_faults, limits_hold_for_seeds_1_to_8) {
+TEST(routed_faults, limits_and_changes_hold_for_seeds_1_to_8) {
   for (std::uint64_t seed = 1; seed <= 8; ++seed) {
     const routed_faults_result r =
         run_routed_faults(seed, std::chrono::seconds(60));
     LONGS_EQUAL(0, r.limits_exceeded);
     LONGS_EQUAL(0, r.requests_after_leaving);
+    LONGS_EQUAL(0, r.config_reverted);
+    LONGS_EQUAL(0, r.config_late);
     CHECK(r.ran * 2 > r.requests);
   }
 }
--- a/tests/support/routed_faults.cpp
+++ b/tests/support/routed_faults.cpp
@@ -20,6 +20,10 @@
 constexpr duration limit_apply_time = seconds(3);
 constexpr duration limit_window = seconds(4);
 constexpr duration drain_time = seconds(2);
+constexpr duration config_apply_time = seconds(2);
+/// A node must follow the configuration if it ran, and the store was there,
+/// for this long.
+constexpr duration settle_time = seconds(3);
 constexpr double requests_per_s = 150;
 
 class routed_faults {
@@ -36,6 +40,7 @@
     }
     m_fleet.run_for(seconds(1));
     m_end += m_fleet.time.now();
+    m_fleet.copy_store();
   }
 
   routed_faults_result run() {
@@ -49,6 +54,7 @@
       }
       m_fleet.run_for(step);
       run_due();
+      check_config();
     }
     for (const std::string& it : m_nodes) {
       end_limit(it);
@@ -95,7 +101,11 @@
     case 4:
       partition();
       break;
+    case 5:
+      store_outage(pick(2) == 0);
+      break;
     default:
+      change_config();
       break;
     }
   }
@@ -197,6 +207,7 @@
       m_fleet.restart_node(node);
       m_down.erase(node);
       m_started_at[node] = m_fleet.time.now();
+      m_revisions.erase(node);
     });
   }
 
@@ -209,6 +220,60 @@
     later(seconds(1 + pick(5)), [this] { m_fleet.heal(); });
   }
 
+  void store_outage(bool with_restore) {
+    if (m_fleet.store_down) {
+      return;
+    }
+    m_fleet.store_down = true;
+    later(milliseconds(200 + pick(3000)), [this, with_restore] {
+      m_fleet.store_down = false;
+      m_store_calm_since = m_fleet.time.now();
+      if (!with_restore) {
+        return;
+      }
+      ++m_result.restores;
+      m_fleet.restore_store();
+      later(milliseconds(pick(1500)), [this] {
+        m_fleet.write_again("routes");
+        m_store_calm_since = m_fleet.time.now();
+        m_fleet.copy_store();
+      });
+    });
+  }
+
+  void change_config() {
+    // What is written while the store is away is not acknowledged.
+    if (m_fleet.store_down) {
+      return;
+    }
+    m_fleet.write_routes(simple_routes());
+    ++m_newest_revision;
+    m_written_at = m_fleet.time.now();
+    if (pick(4) == 0) {
+      m_fleet.copy_store();
+    }
+  }
+
+  void check_config() {
+    const instant now = m_fleet.time.now();
+    for (const std::string& it : m_nodes) {
+      if (m_down.count(it) != 0) {
+        continue;
+      }
+      const route_table* routes = m_fleet.at(it).state().routes();
+      const std::uint64_t revision = routes == nullptr ? 0 : routes->revision();
+      std::uint64_t& highest = m_revisions[it];
+      m_result.config_reverted += revision < highest ? 1 : 0;
+      highest = std::max(highest, revision);
+      const bool must_follow = !m_fleet.store_down &&
+                               now - m_store_calm_since >= settle_time &&
+                               now - m_started_at[it] >= settle_time &&
+                               now - m_written_at > config_apply_time;
+      m_result.config_late +=
+          must_follow && revision < m_newest_revision ? 1 : 0;
+    }
+  }
+
   routed_fleet m_fleet;
   std::mt19937_64 m_random;
   instant m_end;
@@ -219,6 +284,10 @@
   std::map<std::string, instant> m_leaving;
   std::set<std::string> m_down;
   std::map<std::string, instant> m_started_at;
+  std::map<std::string, std::uint64_t> m_revisions; ///< highest, by node
+  std::uint64_t m_newest_revision = 1;
+  instant m_written_at{0};
+  instant m_store_calm_since{0};
 };
 
 } // namespace
