Sessions: a store that comes back from a copy, with real processes

The stand-in of the store copies itself, goes back to the copy and names its restores in each answer. The new session adapter_restored_store checks that the changes which the copy lacks stay in force, that the next one comes into force at both nodes, and that the members' rows are written again.

--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -350,6 +350,31 @@
         yield "change after the outage", self.wait(
             lambda: self.send("/once/a", node=1)[0] == 404)
 
+    def restored_store(self):
+        """The store comes back from a copy that lacks the last changes."""
+        self.store.copy()
+        for name in [n for n in self.store.copied[0] if n[0] == "kingcupslip"]:
+            del self.store.copied[0][name]
+        for version in ("r7", "r8", "r9"):
+            self.store.put("op", "config", desired_state(version, ROUTES[:2]))
+        yield "in force", self.wait(lambda: self.send("/once/a")[0] == 200)
+        self.store.down = True
+        time.sleep(0.5)
+        self.store.restore()
+        self.store.down = False
+        time.sleep(1)
+        yield "still in force", [self.send("/once/a", node=i)[0]
+                                 for i in (0, 1)]
+        self.store.put("op", "config", desired_state("r9", ROUTES[:2]))
+        self.store.put("op", "config", desired_state("r10", ROUTES))
+        yield "the next change", [self.wait(
+            lambda i=i: self.send("/inner/a", None, node=i)[0] == 200)
+            for i in (0, 1)]
+        yield "member rows", self.wait(lambda: 2 == sum(
+            1 for n in self.store.rows if n[0] == "kingcupslip"))
+        yield "logged", [n.event_names().count("table_restored")
+                         for n in self.nodes]
+
     def reload(self):
         """SIGHUP with unchanged, changed and invalid settings."""
         node = self.nodes[0]
@@ -411,7 +436,8 @@
                         self.target_notices, self.endless_answers,
                         self.check_ins,
                         self.reload, self.changes, self.outage,
-                        self.graceful_stop, self.stalled_reader):
+                        self.restored_store, self.graceful_stop,
+                        self.stalled_reader):
             began = time.monotonic()
             text = "".join(f"{k}: {v}\n" for k, v in session())
             failures += not check_transcript("adapter_" + session.__name__,
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -53,13 +53,14 @@
 
 class Store:
     """Store of versioned rows with transactions and a feed of changes, whose
-    history can be dropped."""
+    history can be dropped, and which can go back to a copy."""
 
     def __init__(self, port):
         self.rows = {}
         self.changes = []
         self.version = 0
         self.oldest_history_version = 0
+        self.era = 1  # rises by one each time a copy is brought back
         self.changed = threading.Condition()
         self.down = False
         self.answers_to_lose = 0  # writes that take effect without an answer
@@ -88,6 +89,18 @@
             self.set_row((table, "", key), None)
             self.changed.notify_all()
 
+    def copy(self):
+        with self.changed:
+            self.copied = (dict(self.rows), list(self.changes), self.version)
+
+    def restore(self):
+        """Brings the copy back; versions are given out again."""
+        with self.changed:
+            self.rows, self.changes, self.version = self.copied
+            self.oldest_history_version = 0
+            self.era += 1
+            self.changed.notify_all()
+
     def compact(self):
         with self.changed:
             self.version += 1
@@ -112,12 +125,13 @@
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         with self.changed:
             self.calls[url.path] = self.calls.get(url.path, 0) + 1
+        era = ("Store-Era", str(self.era))
         if self.down:
-            call.reply(503)
+            call.reply(503, headers=[era])
             return
         if self.calls_to_throttle > 0:
             self.calls_to_throttle -= 1
-            call.reply(429)
+            call.reply(429, headers=[era])
             return
         if url.path == "/rows-tx":
             status, out = self.commit(json.loads(body))
@@ -133,7 +147,8 @@
             status, out = 404, {}
         out["now-s"] = time.monotonic()
         call.reply(status, json.dumps(out).encode(),
-                   [("Content-Type", "application/json")])
+                   [("Content-Type", "application/json"),
+                    ("Store-Era", str(self.era))])
 
     def commit(self, body):
         with self.changed:
@@ -173,7 +188,7 @@
         deadline = time.monotonic() + int(query["wait-ms"]) / 1000
         with self.changed:
             while True:
-                if after < self.oldest_history_version:
+                if not self.oldest_history_version <= after <= self.version:
                     return 410, {}
                 rows = [r for r in self.changes
                         if r["table"] == query["table"]
