Out marks: a change that is older than what is known is ignored

A node whose peer had told it newer marks would go back to older ones while its own watch of the store caught up.

Change: a change carries its position, and is applied only if that is newer than the position of the marks; the changes of one answer are applied in order.

--- a/src/kingcupslip/core/desired_state.cpp
+++ b/src/kingcupslip/core/desired_state.cpp
@@ -106,8 +106,12 @@
   return restored;
 }
 
-void desired_state::apply_items(const std::vector<desired_state_item>& items,
+void desired_state::apply_items(std::vector<desired_state_item> items,
                                 store_position at, bool complete) {
+  std::sort(items.begin(), items.end(),
+            [](const desired_state_item& a, const desired_state_item& b) {
+              return a.version < b.version;
+            });
   apply([this, &items, at, complete] {
     bool changed = false;
     out_marks::mark_versions all_marks;
@@ -118,7 +122,7 @@
       } else if (complete) {
         all_marks[it.name] = it.version;
       } else {
-        m_marks.apply_change(it.name, it.version, it.removed);
+        m_marks.apply_change(it.name, {at.timeline, it.version}, it.removed);
       }
     }
     if (complete) {
--- a/src/kingcupslip/core/desired_state.hpp
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -113,8 +113,8 @@
   /// Whether an answer of the store is newer than a restore that is not known
   /// yet; starts over on its timeline.
   bool is_first_after_restore(store_position at);
-  void apply_items(const std::vector<desired_state_item>& items,
-                   store_position at, bool complete);
+  void apply_items(std::vector<desired_state_item> items, store_position at,
+                   bool complete);
   void on_unavailable();
   /// Returns whether the document is now in force and was not before.
   bool apply_routes(store_position at, const std::string& text);
--- a/src/kingcupslip/core/out_marks.cpp
+++ b/src/kingcupslip/core/out_marks.cpp
@@ -1,7 +1,6 @@
 // Marks of the store, and those kept after a restore.
 #include "kingcupslip/core/out_marks.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace kingcupslip {
@@ -34,17 +33,20 @@
   update();
 }
 
-void out_marks::apply_change(const std::string& data_centre,
-                             std::uint64_t version, bool removed) {
-  m_position.version = std::max(m_position.version, version);
+void out_marks::apply_change(const std::string& data_centre, store_position at,
+                             bool removed) {
+  if (!(m_position < at)) {
+    return;
+  }
+  m_position = at;
   if (settling()) {
     m_changed.insert(data_centre);
   }
   if (removed) {
     m_in_store.erase(data_centre);
   } else {
-    m_in_store[data_centre] = version;
-    record_version(data_centre, version);
+    m_in_store[data_centre] = at.version;
+    record_version(data_centre, at.version);
   }
   update();
 }
--- a/src/kingcupslip/core/out_marks.hpp
+++ b/src/kingcupslip/core/out_marks.hpp
@@ -26,8 +26,8 @@
 
   /// Applies all marks as of a position. An older position is ignored.
   void apply_all(store_position at, mark_versions marks, instant now);
-  /// Applies one change on the current timeline.
-  void apply_change(const std::string& data_centre, std::uint64_t version,
+  /// Applies one change. One that is not newer than the position is ignored.
+  void apply_change(const std::string& data_centre, store_position at,
                     bool removed);
   bool settling() const { return m_settled_at != instant(0); }
   /// Ends the settling time after a restore.
