--- a/src/kingcupslip/core/desired_state.hpp
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -94,6 +94,9 @@
     return m_marks.out().count(name) != 0;
   }
   std::uint64_t routes_version() const { return m_routes_position.version; }
+  /// 0 without routes, or if the operators do not number them.
+  std::uint64_t routes_revision() const { return current_routes().revision; }
+  /// Rises when the store is restored from an older copy; 0: unknown.
   std::uint64_t store_timeline() const { return m_cursor.timeline; }
 
   /// Time since the store last answered, for logs and metrics.
--- a/src/kingcupslip/daemon/metrics.cpp
+++ b/src/kingcupslip/daemon/metrics.cpp
@@ -174,6 +174,10 @@
                static_cast<double>(n.in_progress()));
   append_gauge(out, "kingcupslip_routes_version",
                static_cast<double>(n.state().routes_version()));
+  append_gauge(out, "kingcupslip_routes_revision",
+               static_cast<double>(n.state().routes_revision()));
+  append_gauge(out, "kingcupslip_store_timeline",
+               static_cast<double>(n.state().store_timeline()));
   append_gauge(out, "kingcupslip_state_age_seconds",
                static_cast<double>(n.state().age().count()) / us_per_s);
   append_gauge(out, "kingcupslip_members",
