HTTP client: an exchange that outlives its client leaves it alone

Found by reading the change again; AddressSanitizer shows a use after free in http_client.an_exchange_may_outlive_its_client before, and nothing after. A process destroys its clients only at its end.

--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -221,15 +221,16 @@
   }
 
   void finish(target_result result) {
-    m_client.m_buffered_bytes -= std::exchange(m_buffered_bytes, 0);
     if (m_socket) {
       error_code ignored;
       m_socket->close(ignored);
     }
     m_timer.cancel();
     if (!m_on_complete) {
+      // Ended before, or the client is gone.
       return;
     }
+    m_client.m_buffered_bytes -= std::exchange(m_buffered_bytes, 0);
     m_client.m_exchanges.erase(m_id);
     const http_client::result_handler on_complete =
         std::exchange(m_on_complete, nullptr);
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -131,3 +131,23 @@
   s.run_for(milliseconds(300));
   CHECK(sent == received);
 }
+
+// An exchange that outlived its client wrote to the client's memory.
+TEST(http_client, an_exchange_may_outlive_its_client) {
+  relayed_server s;
+  std::unique_ptr<http_client> client = std::make_unique<http_client>(
+      s.loop, boost::asio::ip::tcp::endpoint(
+                  boost::asio::ip::address_v4::loopback(), s.relay.port()));
+  s.batch_size = 2;
+  bool completed = false;
+  target_request r;
+  r.method = "GET";
+  r.path = "/";
+  r.time_left = milliseconds(300);
+  client->send(1, std::move(r),
+               [&completed](const target_result&) { completed = true; });
+  s.run_for(milliseconds(100));
+  client.reset();
+  s.run_for(milliseconds(400));
+  CHECK_FALSE(completed);
+}
