--- a/src/kingcupslip/core/desired_state.cpp
+++ b/src/kingcupslip/core/desired_state.cpp
@@ -72,7 +72,7 @@
   }
   m_backoff = duration(0);
   m_confirmed_at = m_clock.now;
-  const bool restored = is_first_after_restore(at);
+  const bool restored = follow_timeline(at);
   if (status == watch_status::history_lost) {
     m_log(event_id::table_history_lost,
           {{"cursor", std::to_string(m_cursor.version)}});
@@ -88,7 +88,7 @@
   m_snapshot_read = true;
 }
 
-bool desired_state::is_first_after_restore(store_position at) {
+bool desired_state::follow_timeline(store_position at) {
   const bool restored =
       m_cursor.timeline != 0 && at.timeline != m_cursor.timeline;
   if (restored) {
--- a/src/kingcupslip/core/desired_state.hpp
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -113,9 +113,9 @@
   void on_store_answer(watch_status status,
                        const std::vector<desired_state_item>& items,
                        store_position at, bool complete);
-  /// Whether an answer of the store is newer than a restore that is not known
-  /// yet; starts over on its timeline.
-  bool is_first_after_restore(store_position at);
+  /// Goes over to the timeline of an answer. Returns whether it is a new one,
+  /// on which the cursor means nothing.
+  bool follow_timeline(store_position at);
   void apply_items(std::vector<desired_state_item> items, store_position at,
                    bool complete);
   void on_unavailable();
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -14,7 +14,7 @@
 /// With less time left a request stays in this data centre, unless no local
 /// target is available.
 constexpr duration min_time_for_overflow = std::chrono::milliseconds(20);
-constexpr std::uint32_t max_redirects = 2;
+constexpr std::uint32_t max_redirects = 2; ///< of one request
 /// An older report of a target's load is ignored. Without this a target that
 /// was once full, and gets no requests for that, would be taken as full.
 constexpr duration load_report_max_age = std::chrono::seconds(1);
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -39,7 +39,9 @@
 
   std::set<std::string> tried_nodes;
   std::uint32_t attempts = 0;
-  std::uint32_t redirects = 0; ///< attempts that ended before their target
+  /// Attempts that were refused before their target got the request, and did
+  /// not count as one of `max_targets`.
+  std::uint32_t redirects = 0;
   std::uint32_t retries_spent = 0;
   instant retry_at{0};
   bool may_have_run = false; ///< the result of an attempt is unknown
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -18,6 +18,7 @@
 constexpr duration gossip_period = std::chrono::seconds(1);
 constexpr duration join_retry_period = std::chrono::seconds(1);
 constexpr duration row_write_retry_period = std::chrono::seconds(1);
+/// Spreads the nodes' writes after a restore of the table.
 constexpr duration max_row_write_delay = std::chrono::seconds(2);
 constexpr std::size_t updates_per_gossip = 8;
 constexpr std::size_t samples_on_digest_mismatch = 16;
@@ -55,7 +56,6 @@
 
 void gossip_agent::on_table_restored() {
   m_row_written = false;
-  // All nodes learn of a restore at about the same time.
   const std::uint64_t jitter =
       m_dependencies.random() %
       static_cast<std::uint64_t>(max_row_write_delay.count());
--- a/src/kingcupslip/core/gossip_agent.hpp
+++ b/src/kingcupslip/core/gossip_agent.hpp
@@ -79,7 +79,7 @@
   std::map<std::string, member_state> m_logged_states; ///< by member
   instant m_next_gossip_at{0};
   instant m_next_join_at{0};
-  instant m_next_row_write_at{0};
+  instant m_next_row_write_at{0}; ///< after a restore of the table
   std::uint64_t m_member_row_version = 0;
   bool m_joined = false;
   bool m_row_written = false;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -243,7 +243,7 @@
   bool failed_on_nested_overload(const run& r, const outcome& o) const;
   /// Applies what the target states about itself in the answer of a run.
   void update_notice(const run& r, const target_result& result);
-  /// `source`: the request, or "peer", for the log.
+  /// `source` is for the log: the request that was answered, or "peer".
   void apply_notice(target_notice n, const std::string& source);
   void log_failed_run(const run& r, const target_result& result, bool moved);
   crash_detector::digests_by_run running_digests() const;
