--- a/src/kingcupslip/core/incoming_calls.cpp
+++ b/src/kingcupslip/core/incoming_calls.cpp
@@ -44,8 +44,8 @@
   reply.limit = static_cast<float>(m_local_target.capacity());
   reply.in_flight = static_cast<std::uint32_t>(m_local_target.in_flight());
   reply.queued = static_cast<std::uint32_t>(m_local_target.queued());
-  reply.target_answered = m_local_target.has_answered();
-  reply.notice = m_local_target.notice_to_report();
+  reply.target_answered = m_local_target.notices().answered();
+  reply.notice = m_local_target.notices().to_report();
   wire::payloadUnion body;
   body.Set(std::move(reply));
   m_send(id.first, std::move(body));
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -65,7 +65,7 @@
                          {"rate_per_s", std::to_string(rate_per_s)},
                          {"failed_part", std::to_string(failed)}});
           }),
-      m_service(m_options.service) {
+      m_service(m_options.service), m_notices(m_hooks.log) {
   if (!m_options.protocol.is_not_run_answer) {
     m_options.protocol.is_not_run_answer = has_not_run_verdict;
   }
@@ -125,7 +125,7 @@
                      m_options.protocol.is_moved_answer &&
                      m_options.protocol.is_moved_answer(result);
   if (!moved) {
-    update_notice(r, result);
+    update_notices(r, result);
   }
   if (moved || result.end != exchange_end::answered) {
     log_failed_run(r, result, moved);
@@ -158,9 +158,7 @@
   if (new_instance) {
     m_limit.on_target_restart();
     ++m_instance_number;
-    m_notice = target_notice{};
-    m_instance_answered = false;
-    m_rate_limit.set(std::nullopt, m_clock.now);
+    m_notices.on_new_instance(a.instance, a.start_time_ms, m_clock.now);
     m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
   m_crash_detector.resolve(new_instance, m_clock.now);
@@ -169,7 +167,7 @@
   m_sequence = a.sequence;
   m_announced_at = m_clock.now;
   // Its heartbeats may still report a target in service.
-  m_target_draining = a.draining || m_notice.leaving;
+  m_target_draining = a.draining || m_notices.leaving();
   m_service = a.service.empty() ? m_options.service : a.service;
   m_max_concurrency = a.max_concurrency;
   m_cold_until = m_clock.now + a.cold_time_left;
@@ -296,7 +294,7 @@
   const duration longest_wait = max_wait(deadline);
   const bool over_rate_limit =
       request.patient &&
-      m_rate_limit.time_until_starts(ahead + 1, m_clock.now) >
+      m_notices.rate_limit().time_until_starts(ahead + 1, m_clock.now) >
           std::min(longest_wait, max_rate_limit_wait);
   if (over_rate_limit) {
     return reason::target_rate_limited;
@@ -363,7 +361,7 @@
   if (cold()) {
     m_cold_start_bucket.take(m_clock.now);
   }
-  m_rate_limit.on_start(m_clock.now);
+  m_notices.rate_limit().on_start(m_clock.now);
   m_span_retry_budgets.open(r.span_id, call.request.retries);
   const duration left = call.deadline - m_clock.now;
   target_request out =
@@ -443,69 +441,20 @@
   m_quarantine.on_completed(r.digest);
 }
 
-void target_stage::update_notice(const run& r, const target_result& result) {
+void target_stage::update_notices(const run& r, const target_result& result) {
   const bool from_current_instance = result.end == exchange_end::answered &&
                                      r.instance_number == m_instance_number;
   if (!from_current_instance || !m_options.protocol.notice_of) {
     return;
   }
-  m_instance_answered = true;
-  std::optional<target_notice> stated = m_options.protocol.notice_of(result);
-  if (!stated) {
-    return;
-  }
-  if (stated->rate_limit_unreadable) {
-    m_hooks.log(event_id::target_limit_unreadable,
-                {{"instance", m_instance}, {"request", r.request_id}});
-    stated->rate_limit_unreadable = false;
-    stated->rate_limit_per_s = m_notice.rate_limit_per_s;
-  }
-  apply_notice(*stated, r.request_id);
-}
-
-void target_stage::apply_notice(target_notice n, const std::string& source) {
-  if (n.rate_limit_per_s != m_notice.rate_limit_per_s) {
-    m_hooks.log(n.rate_limit_per_s ? event_id::target_rate_limited
-                                   : event_id::target_rate_unlimited,
-                {{"instance", m_instance},
-                 {"source", source},
-                 {"rate_per_s", std::to_string(n.rate_limit_per_s.value_or(0))},
-                 {"in_flight", std::to_string(m_runs.size())}});
-  }
-  if (n.leaving && !m_notice.leaving) {
-    m_hooks.log(event_id::target_leaving,
-                {{"instance", m_instance}, {"source", source}});
-  }
-  // An instance that leaves does not return.
-  n.leaving |= m_notice.leaving;
-  m_target_draining |= n.leaving;
-  m_notice = n;
-  m_rate_limit.set(m_notice.rate_limit_per_s, m_clock.now);
+  m_notices.on_answer(m_options.protocol.notice_of(result), r.request_id,
+                      m_clock.now);
+  m_target_draining |= m_notices.leaving();
 }
 
 void target_stage::on_reported_notice(const wire::target_noticeT& n) {
-  if (n.instance != m_instance || n.start_time_ms != m_start_time_ms) {
-    return;
-  }
-  target_notice reported = m_notice;
-  reported.leaving |= n.leaving;
-  if (!m_instance_answered && n.rate_limit_per_s >= 0) {
-    reported.rate_limit_per_s = n.rate_limit_per_s;
-  }
-  apply_notice(reported, "peer");
-}
-
-std::unique_ptr<wire::target_noticeT> target_stage::notice_to_report() const {
-  if (m_notice.empty()) {
-    return nullptr;
-  }
-  std::unique_ptr<wire::target_noticeT> out =
-      std::make_unique<wire::target_noticeT>();
-  out->instance = m_instance;
-  out->start_time_ms = m_start_time_ms;
-  out->rate_limit_per_s = m_notice.rate_limit_per_s.value_or(-1);
-  out->leaving = m_notice.leaving;
-  return out;
+  m_notices.on_reported(n, m_clock.now);
+  m_target_draining |= m_notices.leaving();
 }
 
 outcome target_stage::make_outcome(const run& r, target_result result,
@@ -637,8 +586,9 @@
 }
 
 std::size_t target_stage::capacity() const {
-  return m_rate_limit.active()
-             ? std::min(limit(), concurrency_at(m_rate_limit.rate_per_s()))
+  return m_notices.rate_limit().active()
+             ? std::min(limit(),
+                        concurrency_at(m_notices.rate_limit().rate_per_s()))
              : limit();
 }
 
@@ -647,14 +597,14 @@
     return m_options.max_in_flight;
   }
   const bool limit_unknown =
-      m_options.protocol.notice_of && !m_instance_answered;
+      m_options.protocol.notice_of && !m_notices.answered();
   return limit_unknown ? std::min(limit(), max_running_before_answer) : limit();
 }
 
 bool target_stage::allows_start() {
   const bool warm_enough =
       !cold() || m_cold_start_bucket.level(m_clock.now) >= 1;
-  return warm_enough && m_rate_limit.allows_start(m_clock.now);
+  return warm_enough && m_notices.rate_limit().allows_start(m_clock.now);
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -11,7 +11,7 @@
 #include "kingcupslip/core/pending_calls.hpp"
 #include "kingcupslip/core/quarantine.hpp"
 #include "kingcupslip/core/span_retry_budget.hpp"
-#include "kingcupslip/core/target_rate_limit.hpp"
+#include "kingcupslip/core/target_notices.hpp"
 #include "kingcupslip/core/time.hpp"
 #include "kingcupslip/core/token_bucket.hpp"
 #include "kingcupslip/wire/generated/messages.hpp"
@@ -19,7 +19,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -71,18 +70,6 @@
   duration cold_time_left{0};      ///< until it can take its full load
 };
 
-/// What a target states about itself in an answer, besides the answer itself.
-struct target_notice {
-  /// The rate of requests that it asks all nodes together to keep; null: none.
-  std::optional<double> rate_limit_per_s;
-  /// It states a limit that cannot be read; the one before stays in force.
-  bool rate_limit_unreadable = false;
-  /// It is about to end and must get no new requests.
-  bool leaving = false;
-
-  bool empty() const { return !rate_limit_per_s && !leaving; }
-};
-
 /// Encoding of requests and decoding of answers. Empty functions stand for the
 /// product's own protocol.
 struct target_protocol {
@@ -148,9 +135,7 @@
   /// more requests until another instance announces itself.
   void on_deregister(const std::string& instance, std::uint64_t start_time_ms);
 
-  /// Handles what another node knows of the target from replies of an earlier
-  /// process of this node. Ignored for another instance; a rate limit also
-  /// once the instance has answered this process.
+  /// Handles what another node remembers of the target's notices.
   void on_reported_notice(const wire::target_noticeT& n);
 
   /// Detects that the target has become silent, and starts or refuses queued
@@ -193,12 +178,8 @@
   const std::string& service() const { return m_service; }
   const std::string& instance() const { return m_instance; }
   bool idle() const { return m_runs.empty() && m_queue.size() == 0; }
-  /// What the target stated in its last answer.
-  const target_notice& notice() const { return m_notice; }
-  /// The same for other nodes; null if it stated nothing.
-  std::unique_ptr<wire::target_noticeT> notice_to_report() const;
-  /// Whether the current instance has answered this process.
-  bool has_answered() const { return m_instance_answered; }
+  /// What the target states about itself.
+  const target_notices& notices() const { return m_notices; }
   /// Requests sent to the target so far.
   std::uint64_t started() const { return m_started; }
   span_retry_budget& span_retry_budgets() { return m_span_retry_budgets; }
@@ -242,9 +223,7 @@
   /// call may belong to another run.
   bool failed_on_nested_overload(const run& r, const outcome& o) const;
   /// Applies what the target states about itself in the answer of a run.
-  void update_notice(const run& r, const target_result& result);
-  /// `source` is for the log: the request that was answered, or "peer".
-  void apply_notice(target_notice n, const std::string& source);
+  void update_notices(const run& r, const target_result& result);
   void log_failed_run(const run& r, const target_result& result, bool moved);
   crash_detector::digests_by_run running_digests() const;
   bool suspect_running() const { return m_suspect_run != 0; }
@@ -293,15 +272,11 @@
   /// Counts the instances of the target. An answer of an earlier instance says
   /// nothing about the current one.
   std::uint64_t m_instance_number = 0;
-  target_notice m_notice;
-  /// Whether the current instance has answered this process, so that its rate
-  /// limit is known.
-  bool m_instance_answered = false;
+  target_notices m_notices;
   std::uint64_t m_started = 0;
   std::size_t m_max_concurrency = 0;
   instant m_cold_until{0};
   token_bucket m_cold_start_bucket;
-  target_rate_limit m_rate_limit;
   instant m_announced_at{0};
   instant m_nested_overload_at{-1};
   bool m_ready = false;
--- a/src/kingcupslip/daemon/metrics.cpp
+++ b/src/kingcupslip/daemon/metrics.cpp
@@ -99,7 +99,7 @@
   append_gauge(out, "kingcupslip_target_queued",
                static_cast<double>(target.queued()));
   append_gauge(out, "kingcupslip_target_rate_limit",
-               target.notice().rate_limit_per_s.value_or(0));
+               target.notices().current().rate_limit_per_s.value_or(0));
   append_counter(out, "kingcupslip_target_started_total", target.started());
 }
 
