Desired state: read again after each failed call of the store

Cause: after a failed call the watch went on from its cursor, although a store that was away may have been restored. Ruled out: gossip (all nodes waited alike) and lost history (the version exists again). Change: after a failed call everything is read again, which tells the timeline at once; the read is one small table a node and outage.

--- a/src/kingcupslip/core/desired_state.cpp
+++ b/src/kingcupslip/core/desired_state.cpp
@@ -147,6 +147,9 @@
 }
 
 void desired_state::on_unavailable() {
+  // The store may be restored while it is away. A read tells so at once; a wait
+  // for changes only when it ends.
+  m_snapshot_read = false;
   if (!m_store_unavailable) {
     m_store_unavailable = true;
     m_log(event_id::table_lost,
--- a/src/kingcupslip/core/desired_state.hpp
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -142,7 +142,8 @@
   instant m_last_pull_at{0};
   duration m_backoff{0};
   bool m_request_pending = false;
-  /// Whether all entries were read once since the history was last lost.
+  /// Whether all entries were read since the history was last lost or the store
+  /// was last away.
   bool m_snapshot_read = false;
   bool m_store_unavailable = false;
 };
--- a/tests/core/routed_faults_test.cpp
+++ b/tests/core/routed_faults_test.cpp
@@ -21,3 +21,11 @@
     CHECK(r.ran * 2 > r.requests);
   }
 }
+
+// Seed 1154: the store was restored and, at once, away again; the version that
+// it had at its return was the cursor of all watches, which waited 3 s.
+TEST(routed_faults, limits_and_changes_hold_for_seeds_that_failed_before) {
+  const routed_faults_result r =
+      run_routed_faults(1154, std::chrono::seconds(120));
+  CHECK_FALSE(r.broken());
+}
--- a/tests/core/store_restore_test.cpp
+++ b/tests/core/store_restore_test.cpp
@@ -231,6 +231,22 @@
   CHECK(r.fleet.store_calls - before <= 4 * (12 / 3 * 2 + 4));
 }
 
+// A watch from the version that the store has again waited for its whole time,
+// and its answer alone tells of the restore.
+TEST(store_restore, a_restore_that_reaches_the_same_version_is_seen_at_once) {
+  restorable_fleet r(12);
+  r.fleet.copy_store();
+  r.fleet.write_routes(routes_with("/first/"));
+  r.fleet.run_for(apply_time);
+  r.fleet.store_down = true;
+  r.fleet.run_for(seconds(2));
+  r.fleet.restore_store();
+  r.fleet.write_routes(routes_with("/second/"));
+  r.fleet.store_down = false;
+  r.fleet.run_for(apply_time);
+  CHECK(r.all_serve("/second/x"));
+}
+
 TEST(store_restore, changes_are_in_force_after_several_restores) {
   restorable_fleet r(11);
   for (int i = 1; i <= 3; ++i) {
