Sessions: wait for a backed-off node before its log is compared

Cause: in the test. Change: the session waits for the event, as for everything else, and still wants it exactly once at each node.

--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -372,6 +372,10 @@
             for i in (0, 1)]
         yield "member rows", self.wait(lambda: 2 == sum(
             1 for n in self.store.rows if n[0] == "kingcupslip"))
+        # A node that backs off has the change from its peer before it asks the
+        # store again.
+        self.wait(lambda: all("table_restored" in n.event_names()
+                              for n in self.nodes))
         yield "logged", [n.event_names().count("table_restored")
                          for n in self.nodes]
 
