Sessions: a restarted node reads the store before the store is restored

A node that has read no earlier timeline has nothing to compare.

Change: the session waits for n2's first read; all checks stay.

--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -352,6 +352,8 @@
 
     def restored_store(self):
         """The store comes back from a copy that lacks the last changes."""
+        # A node that has not read the store yet knows of no restore.
+        self.wait(lambda: "table_regained" in self.nodes[1].event_names())
         self.store.copy()
         for name in [n for n in self.store.copied[0] if n[0] == "kingcupslip"]:
             del self.store.copied[0][name]
