--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -11,6 +11,7 @@
       {event_id::settings_reloaded, "settings_reloaded", event_level::info},
       {event_id::settings_unreadable, "settings_unreadable",
        event_level::error},
+      {event_id::node_stopped_busy, "node_stopped_busy", event_level::warning},
       {event_id::target_announced, "target_announced", event_level::info},
       {event_id::target_silent, "target_silent", event_level::warning},
       {event_id::target_crashed, "target_crashed", event_level::warning},
@@ -52,6 +53,10 @@
       {event_id::run_failed, "run_failed", event_level::info},
       {event_id::announcement_ignored, "announcement_ignored",
        event_level::warning},
+      {event_id::caller_connection_cut, "caller_connection_cut",
+       event_level::warning},
+      {event_id::answer_skipped, "answer_skipped", event_level::warning},
+      {event_id::answer_incomplete, "answer_incomplete", event_level::warning},
   };
   return events;
 }
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -20,6 +20,7 @@
   node_stopped = 102,
   settings_reloaded = 103,
   settings_unreadable = 104,
+  node_stopped_busy = 105,
   target_announced = 200,
   target_silent = 201,
   target_crashed = 202,
@@ -54,7 +55,10 @@
   request_refused = 701,
   lines_dropped = 702,
   run_failed = 703,
-  announcement_ignored = 704
+  announcement_ignored = 704,
+  caller_connection_cut = 705,
+  answer_skipped = 706,
+  answer_incomplete = 707
 };
 
 struct event_info {
