Graceful stop: what outlasts the grace period is answered

What callers saw: connections closed with no answer 5.45 s after the SIGTERM of their node, while the request still ran at its target.

Cause: a stopping node ended with whatever was in progress, and the kernel closed the connections. The same in kingcupslipd at its drain limit.

Change: both entries keep the requests that are not answered, and when the node has left, cancel and answer them: draining, not run where no target got them, else may have run. A job that is cancelled has a reason of its own for that.

Tests, before and after: a_request_that_outlasts_the_grace_period_is_answered expected 4 answers, was 0; a_request_that_still_waits_is_refused_as_not_run 2, was 0; a_node_with_keys_answers_what_outlasts_its_drain_limit 2, was 0. All pass now.

--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -45,10 +45,11 @@
   attempt(job);
 }
 
-void dispatcher::cancel(const std::shared_ptr<dispatch_job>& job) {
+void dispatcher::cancel(const std::shared_ptr<dispatch_job>& job, reason why) {
   if (job->ended) {
     return;
   }
+  job->cancelled_for = why;
   if (job->current_node == m_members.self().info.node) {
     m_local_target.cancel(job->current_attempt_id);
   } else if (!job->current_node.empty()) {
@@ -59,8 +60,8 @@
     m_send(job->current_node, std::move(body));
   }
   const bool was_sent = job->attempts > 0;
-  finish(job, refusal(reason::cancelled,
-                      was_sent ? verdict::may_have_run : verdict::not_run));
+  finish(job,
+         refusal(why, was_sent ? verdict::may_have_run : verdict::not_run));
 }
 
 void dispatcher::tick() {
@@ -317,6 +318,11 @@
     return;
   }
   job->ended = true;
+  const bool attempt_cancelled = o.refusal_reason == reason::cancelled &&
+                                 job->cancelled_for != reason::none;
+  if (attempt_cancelled) {
+    o = refusal(job->cancelled_for, o.execution);
+  }
   if (job->fallback_answer && o.refusal_reason != reason::none) {
     // The target's own error is more informative than a later refusal.
     o = std::move(*job->fallback_answer);
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -46,6 +46,7 @@
   instant retry_at{0};
   bool may_have_run = false; ///< the result of an attempt is unknown
   bool ended = false;
+  reason cancelled_for = reason::none; ///< set if the job was cancelled
   /// The node and the id of the current attempt, for cancellation: a ticket of
   /// the local target, or else the correlation of the call.
   std::string current_node;
@@ -79,8 +80,9 @@
   /// Starts the first attempt of a job.
   void dispatch(const std::shared_ptr<dispatch_job>& job);
 
-  /// Cancels the current attempt and ends the job.
-  void cancel(const std::shared_ptr<dispatch_job>& job);
+  /// Cancels the current attempt and ends the job with this reason.
+  void cancel(const std::shared_ptr<dispatch_job>& job,
+              reason why = reason::cancelled);
 
   /// Starts the retries whose delay has passed.
   void tick();
--- a/src/kingcupslip/core/entry_stage.cpp
+++ b/src/kingcupslip/core/entry_stage.cpp
@@ -101,12 +101,12 @@
     handler(refusal(reason::body_too_large));
     return;
   }
-  if (!m_dependencies.sync.ready()) {
+  if (m_ended || !m_dependencies.sync.ready()) {
     // The owner of an idempotency key is not known yet, so an earlier run of
     // the request cannot be ruled out.
     const bool keyed =
         !header_value(request.headers, header_names::idempotency_key).empty();
-    handler(refusal(reason::starting,
+    handler(refusal(m_ended ? reason::draining : reason::starting,
                     keyed ? verdict::may_have_run : verdict::not_run,
                     starting_retry_after));
     return;
@@ -118,11 +118,11 @@
   const team_route_key team_and_route{
       team, service + (terms.route == nullptr ? "" : terms.route->path_prefix)};
   m_counts.on_asked(team_and_route);
-  ++m_in_progress;
-  const outcome_handler done = [this, team_and_route, handler](outcome o) {
-    m_counts.on_outcome(team_and_route, o);
-    --m_in_progress;
-    handler(std::move(o));
+  const std::uint64_t id = ++m_last_id;
+  m_unanswered.emplace(id,
+                       unanswered_request{team_and_route, std::move(handler)});
+  const outcome_handler done = [this, id](outcome o) {
+    answer(id, std::move(o));
   };
   if (refused_for != reason::none) {
     done(refusal(refused_for));
@@ -171,6 +171,25 @@
       });
 }
 
+void entry_stage::answer(std::uint64_t id, outcome o) {
+  const auto it = m_unanswered.find(id);
+  if (it == m_unanswered.end()) {
+    return;
+  }
+  const unanswered_request r = std::move(it->second);
+  m_unanswered.erase(it);
+  m_counts.on_outcome(r.team_and_route, o);
+  r.handler(std::move(o));
+}
+
+void entry_stage::end_all() {
+  m_ended = true;
+  while (!m_unanswered.empty()) {
+    answer(m_unanswered.begin()->first,
+           refusal(reason::draining, verdict::may_have_run));
+  }
+}
+
 void entry_stage::report_admitted(const request_terms& terms,
                                   const std::string& team) const {
   if (!terms.context && m_options.on_admitted) {
--- a/src/kingcupslip/core/entry_stage.hpp
+++ b/src/kingcupslip/core/entry_stage.hpp
@@ -84,7 +84,9 @@
 
   /// Refuses new requests from now on.
   void start_draining() { m_draining = true; }
-  std::size_t in_progress() const { return m_in_progress; }
+  /// Answers all requests in progress, and refuses all new ones.
+  void end_all();
+  std::size_t in_progress() const { return m_unanswered.size(); }
   const request_counters& counts() const { return m_counts; }
 
 private:
@@ -97,6 +99,14 @@
     instant deadline{0};
   };
 
+  /// A request that has been counted and is not answered yet.
+  struct unanswered_request {
+    team_route_key team_and_route;
+    outcome_handler handler;
+  };
+
+  /// Answers a request, unless it was answered before.
+  void answer(std::uint64_t id, outcome o);
   reason authorize(const caller_request& r, const std::string& service,
                    const std::string& path, request_terms& out) const;
   reason authorize_nested(std::string_view text, request_terms& out) const;
@@ -147,8 +157,10 @@
   std::unordered_map<std::uint64_t, std::weak_ptr<dispatch_job>>
       m_jobs_by_connection;
   std::multimap<instant, std::shared_ptr<owner_call>> m_owner_retries;
-  std::size_t m_in_progress = 0;
+  std::map<std::uint64_t, unanswered_request> m_unanswered;
+  std::uint64_t m_last_id = 0; ///< of unanswered requests
   bool m_draining = false;
+  bool m_ended = false;
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -351,6 +351,7 @@
   }
   if (m_leaving && m_clock.now - m_leave_started_at >= leave_flush_time) {
     m_lease.release();
+    m_entry.end_all();
     m_left = true;
   }
 }
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -44,8 +44,8 @@
   e->deadline = m_clock.now + request.time_left.value_or(max_retry_after);
   e->request = std::move(request);
   e->handler = std::move(handler);
-  ++m_in_progress;
-  if (m_refusing_new) {
+  m_active.insert(e);
+  if (refuses()) {
     finish(e,
            refusal(reason::draining, verdict::not_run, draining_retry_after));
     return;
@@ -101,7 +101,13 @@
       });
 }
 
+bool routed_entry::refuses() const { return m_ended || m_refusing_new; }
+
 void routed_entry::admit(const active_request_ptr& e) {
+  if (m_active.count(e) == 0) {
+    // Answered while it waited for a token.
+    return;
+  }
   if (e->caller_disconnected) {
     finish(e, refusal(reason::cancelled));
     return;
@@ -151,8 +157,22 @@
   }
 }
 
+void routed_entry::end_all() {
+  m_ended = true;
+  const std::unordered_set<active_request_ptr> active = m_active;
+  for (const active_request_ptr& it : active) {
+    if (const std::shared_ptr<dispatch_job> job = it->job) {
+      m_dependencies.dispatch.cancel(job, reason::draining);
+    } else if (m_active.count(it) != 0) {
+      finish(it, refusal(reason::draining));
+    }
+  }
+}
+
 void routed_entry::finish(const active_request_ptr& e, outcome o) {
-  --m_in_progress;
+  if (m_active.erase(e) == 0) {
+    return;
+  }
   if (e->request.connection != 0) {
     m_by_connection.erase(e->request.connection);
   }
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -18,6 +18,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace kingcupslip {
@@ -63,7 +64,10 @@
   /// the process has to exit.
   void refuse_new_requests() { m_refusing_new = true; }
 
-  std::size_t in_progress() const { return m_in_progress; }
+  /// Cancels and answers all requests in progress, and refuses all new ones.
+  void end_all();
+
+  std::size_t in_progress() const { return m_active.size(); }
   const request_counters& counts() const { return m_counts; }
 
 private:
@@ -86,6 +90,7 @@
   };
   using active_request_ptr = std::shared_ptr<active_request>;
 
+  bool refuses() const;
   void admit(const active_request_ptr& e);
   void finish(const active_request_ptr& e, outcome o);
   void log_result(const active_request& e, const outcome& o);
@@ -102,8 +107,9 @@
   std::map<std::string, std::map<std::string, double>> m_round_robin_credit;
   std::unordered_map<std::uint64_t, std::weak_ptr<active_request>>
       m_by_connection;
-  std::size_t m_in_progress = 0;
+  std::unordered_set<active_request_ptr> m_active;
   bool m_refusing_new = false;
+  bool m_ended = false;
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -20,6 +20,9 @@
 /// Time left of the drain limit at which the node leaves even if requests are
 /// still running.
 constexpr duration exit_margin = std::chrono::milliseconds(750);
+/// Time left of the drain limit at which the process exits even if answers are
+/// still being written.
+constexpr duration hard_exit_margin = std::chrono::milliseconds(250);
 /// A retry repeats its nested calls, which also count as retries: one level per
 /// service on the path.
 constexpr double retry_levels = 4;
@@ -188,6 +191,11 @@
   m_gossip.set_ready(false);
 }
 
+bool routed_node::must_exit() const {
+  return m_draining && m_clock.now - m_drain_started_at >=
+                           m_options.drain_limit - hard_exit_margin;
+}
+
 bool routed_node::closing() const {
   return m_draining &&
          m_clock.now - m_drain_started_at >= unready_propagation_time;
@@ -242,7 +250,10 @@
     m_leave_started_at = m_clock.now;
     m_gossip.leave();
   }
-  m_left = m_leaving && m_clock.now - m_leave_started_at >= leave_flush_time;
+  if (m_leaving && m_clock.now - m_leave_started_at >= leave_flush_time) {
+    m_entry.end_all();
+    m_left = true;
+  }
 }
 
 void routed_node::update_retry_budget() {
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -78,6 +78,9 @@
   /// then on new requests are refused and answers close their connections.
   bool closing() const;
   bool drained() const { return m_left; }
+  /// Whether the process has to exit now, even if answers are still being
+  /// written to callers.
+  bool must_exit() const;
 
   const desired_state& state() const { return m_state; }
   const member_table& members() const { return m_members; }
