Graceful stop: requests get only the time that is left of the grace period

What callers saw: requests that were taken late in a planned stop were passed on with all of their callers' time, and broken off when the process ended; so were retries and queued requests that started shortly before the end.

Cause: deadlines did not know the end of the process.

Change: from SIGTERM on the deadlines of new requests, of further attempts and of queued runs end 0.75 s before the grace period does, so that the targets themselves answer in time. What waits for the target until then is refused as not run.

Test: a_request_taken_while_draining_gets_the_time_that_is_left; before, the target was given more than the 3.5 s that were left.

--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -202,7 +202,7 @@
   m_draining = true;
   m_drain_started_at = m_clock.now;
   m_hooks.log(event_id::node_draining, {});
-  m_local_target.start_draining();
+  m_local_target.start_draining(m_clock.now + m_options.drain_limit);
   m_agent.gossip().set_ready(false);
   m_agent.start_handover();
 }
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -73,7 +73,7 @@
   e->nested = team == nullptr && !table->teams().empty();
   const std::chrono::milliseconds left =
       std::min(e->request.time_left.value_or(route->timeout), route->timeout);
-  e->deadline = m_clock.now + left;
+  e->deadline = std::min(m_clock.now + left, m_answer_by);
   m_counts.on_asked({e->team, e->route_name});
   if (e->request.connection != 0) {
     m_by_connection[e->request.connection] = e;
@@ -101,7 +101,9 @@
       });
 }
 
-bool routed_entry::refuses() const { return m_ended || m_refusing_new; }
+bool routed_entry::refuses() const {
+  return m_ended || m_refusing_new;
+}
 
 void routed_entry::admit(const active_request_ptr& e) {
   if (m_active.count(e) == 0) {
@@ -157,6 +159,16 @@
   }
 }
 
+void routed_entry::start_draining(instant answer_by) {
+  m_answer_by = answer_by;
+  for (const active_request_ptr& it : m_active) {
+    it->deadline = std::min(it->deadline, answer_by);
+    if (it->job) {
+      it->job->deadline = it->deadline;
+    }
+  }
+}
+
 void routed_entry::end_all() {
   m_ended = true;
   const std::unordered_set<active_request_ptr> active = m_active;
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -60,6 +60,10 @@
 
   void tick() { m_rate_limiter.tick(); }
 
+  /// Limits the deadlines of new requests, and of further attempts of those in
+  /// progress, to `answer_by`, when the process has to exit.
+  void start_draining(instant answer_by);
+
   /// Refuses new requests from now on, as they could not be finished before
   /// the process has to exit.
   void refuse_new_requests() { m_refusing_new = true; }
@@ -108,6 +112,7 @@
   std::unordered_map<std::uint64_t, std::weak_ptr<active_request>>
       m_by_connection;
   std::unordered_set<active_request_ptr> m_active;
+  instant m_answer_by = instant::max();
   bool m_refusing_new = false;
   bool m_ended = false;
 };
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -187,7 +187,9 @@
   m_draining = true;
   m_drain_started_at = m_clock.now;
   m_hooks.log(event_id::node_draining, {});
-  m_local_target.start_draining();
+  const instant answer_by = m_clock.now + m_options.drain_limit - exit_margin;
+  m_local_target.start_draining(answer_by);
+  m_entry.start_draining(answer_by);
   m_gossip.set_ready(false);
 }
 
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -217,6 +217,11 @@
   start_queued();
 }
 
+void target_stage::start_draining(instant finish_by) {
+  m_draining = true;
+  m_finish_by = finish_by;
+}
+
 void target_stage::shed_unfinishable() {
   // If a request is refused now its caller gets the answer before the deadline
   // and knows that it has not run.
@@ -227,13 +232,20 @@
   for (const waiting_request& it : m_queue.remove_if(late)) {
     finish_queued(it.id, refusal(reason::deadline));
   }
+  if (m_finish_by <= earliest_finish) {
+    refuse_queued(reason::draining);
+  }
 }
 
 void target_stage::stop_sending() {
   m_ready = false;
+  refuse_queued(reason::no_target);
+}
+
+void target_stage::refuse_queued(reason why) {
   const auto any_request = [](const waiting_request&) { return true; };
   for (const waiting_request& it : m_queue.remove_if(any_request)) {
-    finish_queued(it.id, refusal(reason::no_target));
+    finish_queued(it.id, refusal(why));
   }
 }
 
@@ -316,7 +328,8 @@
 
 void target_stage::start_queued() {
   std::vector<shed_request> to_shed;
-  while (m_ready && m_runs.size() < max_running() && m_queue.size() > 0 &&
+  while (m_ready && m_clock.now < m_finish_by &&
+         m_runs.size() < max_running() && m_queue.size() > 0 &&
          allows_start()) {
     const duration service_time =
         m_options.plain_forwarding ? duration(0) : m_limit.baseline_latency();
@@ -352,7 +365,7 @@
                              std::to_string(m_clock.wall.count()));
   r.instance_number = m_instance_number;
   r.started_at = m_clock.now;
-  r.deadline = call.deadline;
+  r.deadline = std::min(call.deadline, m_finish_by);
   r.idempotent = call.request.idempotent;
   r.handler = std::move(call.handler);
   if (m_quarantine.is_suspect(r.digest, m_clock.now)) {
@@ -363,7 +376,7 @@
   }
   m_notices.rate_limit().on_start(m_clock.now);
   m_span_retry_budgets.open(r.span_id, call.request.retries);
-  const duration left = call.deadline - m_clock.now;
+  const duration left = r.deadline - m_clock.now;
   target_request out =
       m_options.protocol.encode
           ? m_options.protocol.encode(call.request, m_instance, left)
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -141,8 +141,9 @@
   /// Detects that the target has become silent, and starts or refuses queued
   /// requests.
   void tick();
-  /// Refuses new requests from now on.
-  void start_draining() { m_draining = true; }
+  /// Refuses new requests from now on. Queued ones get until `finish_by`, when
+  /// the process has to exit, and those that cannot finish by then are refused.
+  void start_draining(instant finish_by);
 
   /// Takes the target out of service or back in, as operators decide for it or
   /// its data centre. The learned limit restarts when it comes back in.
@@ -244,7 +245,9 @@
   std::size_t max_running() const;
   /// Refuses all queued requests and accepts none until the next announcement.
   void stop_sending();
-  /// Refuses queued requests that can no longer finish before their deadline.
+  void refuse_queued(reason why);
+  /// Refuses queued requests that can no longer finish before their deadline,
+  /// or before the process has to exit.
   void shed_unfinishable();
   bool is_outdated(const target_announcement& a) const;
 
@@ -280,6 +283,7 @@
   instant m_announced_at{0};
   instant m_nested_overload_at{-1};
   bool m_ready = false;
+  instant m_finish_by = instant::max(); ///< earlier than that once draining
   bool m_draining = false;
   bool m_out_of_service = false;
   bool m_target_draining = false;
--- a/tests/core/graceful_stop_test.cpp
+++ b/tests/core/graceful_stop_test.cpp
@@ -41,6 +41,16 @@
   std::vector<outcome> got;
 };
 
+duration longest_time_limit(routed_fleet& f) {
+  duration longest{0};
+  for (const char* it : {"a1", "a2", "b1", "b2"}) {
+    for (const target_request& r : f.target(it).started_requests) {
+      longest = std::max(longest, r.time_left);
+    }
+  }
+  return longest;
+}
+
 } // namespace
 
 // clang-format off
@@ -110,6 +120,22 @@
               }));
 }
 
+// A request that was taken late in the grace period was passed on with all of
+// its caller's time, and cut at the end.
+TEST(graceful_stop, a_request_taken_while_draining_gets_the_time_that_is_left) {
+  routed_fleet f(3);
+  build_slow_fleet(f, milliseconds(100));
+  f.at("a1").start_draining();
+  f.run_for(milliseconds(2500));
+  answers a;
+  f.request("a1", "/once/x", "k", a.collect(), route_timeout);
+  f.run_for(milliseconds(200));
+  LONGS_EQUAL(1, a.got.size());
+  CHECK(verdict::ran == a.got.front().execution);
+  CHECK(longest_time_limit(f) <= grace_period - milliseconds(2500));
+  CHECK(longest_time_limit(f) > seconds(2));
+}
+
 // The same on the product's own interface.
 TEST(graceful_stop, a_node_with_keys_answers_what_outlasts_its_drain_limit) {
   virtual_fleet f(5);
