Graceful stop: nested calls of runs in progress are served

What callers saw: a request that ran at the target of a stopping node failed with 500 when it made a nested call more than 3 s after SIGTERM.

Cause: from then on the node refused every new request, the nested calls of what it was finishing among them.

From the end of the stop all are refused.

Test: nested_calls_of_a_run_in_progress_are_still_served; before, a status was 500 in place of 200.

--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -45,7 +45,7 @@
   e->request = std::move(request);
   e->handler = std::move(handler);
   m_active.insert(e);
-  if (refuses()) {
+  if (refuses(e->request)) {
     finish(e,
            refusal(reason::draining, verdict::not_run, draining_retry_after));
     return;
@@ -101,8 +101,11 @@
       });
 }
 
-bool routed_entry::refuses() const {
-  return m_ended || m_refusing_new;
+bool routed_entry::refuses(const routed_request& r) const {
+  // Callers other than targets have a key.
+  const bool may_be_nested =
+      !r.api_key && m_dependencies.local_target.in_flight() > 0;
+  return m_ended || (m_refusing_new && !may_be_nested);
 }
 
 void routed_entry::admit(const active_request_ptr& e) {
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -64,8 +64,8 @@
   /// progress, to `answer_by`, when the process has to exit.
   void start_draining(instant answer_by);
 
-  /// Refuses new requests from now on, as they could not be finished before
-  /// the process has to exit.
+  /// Refuses new requests from now on, except nested calls of requests that
+  /// are in progress at the local target.
   void refuse_new_requests() { m_refusing_new = true; }
 
   /// Cancels and answers all requests in progress, and refuses all new ones.
@@ -94,7 +94,7 @@
   };
   using active_request_ptr = std::shared_ptr<active_request>;
 
-  bool refuses() const;
+  bool refuses(const routed_request& r) const;
   void admit(const active_request_ptr& e);
   void finish(const active_request_ptr& e, outcome o);
   void log_result(const active_request& e, const outcome& o);
--- a/tests/core/graceful_stop_test.cpp
+++ b/tests/core/graceful_stop_test.cpp
@@ -136,6 +136,38 @@
   CHECK(longest_time_limit(f) > seconds(2));
 }
 
+// Runs that were in progress failed when the node beside their target refused
+// their nested calls.
+TEST(graceful_stop, nested_calls_of_a_run_in_progress_are_still_served) {
+  routed_fleet f(4);
+  build_slow_fleet(f, milliseconds(10));
+  for (int i = 0; i < 8; ++i) {
+    f.request_and_wait("a2", "/once/x", "k");
+  }
+  f.target("a1").request_handler =
+      [&f](const target_request&,
+           const std::function<void(std::uint16_t)>& done) {
+        f.time.run_after(milliseconds(3700), [&f, done] {
+          f.request("a1", "/inner/x", "", [done](const outcome& o) {
+            done(o.refusal_reason == reason::none ? 200 : 500);
+          });
+        });
+      };
+  answers a;
+  for (int i = 0; i < 8; ++i) {
+    f.request("a2", "/once/x", "k", a.collect(), route_timeout);
+  }
+  f.run_for(milliseconds(50));
+  CHECK(f.target("a1").load() > 0);
+  f.at("a1").start_draining();
+  f.run_for(milliseconds(4500));
+  LONGS_EQUAL(8, a.got.size());
+  for (const outcome& it : a.got) {
+    LONGS_EQUAL(200, it.status);
+  }
+  CHECK(f.at("a1").drained());
+}
+
 // The same on the product's own interface.
 TEST(graceful_stop, a_node_with_keys_answers_what_outlasts_its_drain_limit) {
   virtual_fleet f(5);
