HTTP server: count unanswered requests and log cut connections

http_server::unanswered_requests() counts requests from when they were read, or could not be read, until the kernel has taken the whole answer or the connection has closed. server_hooks gets a sink, which may be null, for event 705 with the cause. A caller that was seen to disconnect first is not logged: the node did not cut it. An answer for a closed connection is dropped instead of written to a closed socket. Nothing else changes; no daemon sets the sink yet.

--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -53,23 +53,24 @@
 public:
   http_session(tcp::socket socket, const server_limits& limits,
                std::shared_ptr<const server_hooks> hooks,
-               std::shared_ptr<std::size_t> open_connections,
-               std::shared_ptr<bool> keep_alive_disabled, std::uint64_t id)
+               std::shared_ptr<http_server::shared_state> state,
+               std::uint64_t id)
       : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
-        m_limits(limits), m_hooks(std::move(hooks)),
-        m_open_connections(std::move(open_connections)),
-        m_keep_alive_disabled(std::move(keep_alive_disabled)), m_id(id),
-        m_buffer(unparsed_heads * m_limits.max_header_bytes) {
-    ++*m_open_connections;
+        m_limits(limits), m_hooks(std::move(hooks)), m_state(std::move(state)),
+        m_id(id), m_buffer(unparsed_heads * m_limits.max_header_bytes) {
+    ++m_state->open_connections;
     set_socket_options(m_socket);
   }
 
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
-  ~http_session() { --*m_open_connections; }
+  ~http_session() {
+    set_unanswered(false);
+    --m_state->open_connections;
+  }
 
   void start() {
-    if (*m_open_connections > m_limits.max_connections) {
+    if (m_state->open_connections > m_limits.max_connections) {
       refuse(reason::too_many_connections);
       return;
     }
@@ -82,7 +83,8 @@
       read_request();
       return;
     }
-    start_timer(m_limits.idle_timeout, [](http_session& s) { s.close(); });
+    start_timer(m_limits.idle_timeout,
+                [](http_session& s) { s.cut("idle_timeout"); });
     const std::shared_ptr<http_session> self = shared_from_this();
     m_socket.async_wait(tcp::socket::wait_read, [self](const error_code& ec) {
       if (!ec) {
@@ -133,6 +135,7 @@
     }
     r.body = std::move(request.body().bytes);
     m_handling_request = true;
+    set_unanswered(true);
     watch_for_disconnect();
     const std::shared_ptr<http_session> self = shared_from_this();
     m_hooks->on_request(std::move(r), [self](outcome o) {
@@ -158,7 +161,11 @@
                              peek_error);
       const bool disconnected =
           peek_error && peek_error != asio::error::would_block;
-      if (disconnected && self->m_hooks->on_disconnect) {
+      if (!disconnected) {
+        return;
+      }
+      self->m_caller_disconnected = true;
+      if (self->m_hooks->on_disconnect) {
         self->m_hooks->on_disconnect(self->m_id);
       }
     });
@@ -170,6 +177,10 @@
   }
 
   void respond(outcome o) {
+    if (!m_socket.is_open()) {
+      return;
+    }
+    set_unanswered(true);
     outcome out = m_hooks->encode(std::move(o));
     m_response = {};
     m_response.version(11);
@@ -177,7 +188,7 @@
     for (const header& it : out.headers) {
       m_response.insert(it.name, it.value);
     }
-    const bool keep_open = m_keep_alive && !*m_keep_alive_disabled;
+    const bool keep_open = m_keep_alive && !m_state->keep_alive_disabled;
     m_response.keep_alive(keep_open);
     m_response.body() = std::move(out.body);
     m_response.prepare_payload();
@@ -187,7 +198,12 @@
     const std::shared_ptr<http_session> self = shared_from_this();
     http::async_write(m_socket, m_response,
                       [self, keep_open](const error_code& ec, std::size_t) {
-                        if (ec || !keep_open) {
+                        if (ec) {
+                          self->cut("write_failed", ec.message());
+                          return;
+                        }
+                        self->set_unanswered(false);
+                        if (!keep_open) {
                           self->close();
                           return;
                         }
@@ -207,7 +223,28 @@
     });
   }
 
+  void set_unanswered(bool is_unanswered) {
+    if (m_unanswered != is_unanswered) {
+      m_unanswered = is_unanswered;
+      m_state->unanswered_requests += is_unanswered ? 1 : -1;
+    }
+  }
+
+  /// Closes the connection; an event tells why if a caller that is still
+  /// there does not get its answer.
+  void cut(const std::string& why, const std::string& error = {}) {
+    if (m_unanswered && !m_caller_disconnected && m_hooks->log) {
+      m_hooks->log(event_id::caller_connection_cut,
+                   {{"why", why},
+                    {"error", error},
+                    {"connection", std::to_string(m_id)},
+                    {"in_handler", m_handling_request ? "yes" : "no"}});
+    }
+    close();
+  }
+
   void close() {
+    set_unanswered(false);
     error_code ignored;
     m_timer.cancel();
     m_socket.shutdown(tcp::socket::shutdown_both, ignored);
@@ -218,8 +255,7 @@
   asio::steady_timer m_timer;
   const server_limits m_limits;
   std::shared_ptr<const server_hooks> m_hooks;
-  std::shared_ptr<std::size_t> m_open_connections;
-  std::shared_ptr<bool> m_keep_alive_disabled;
+  std::shared_ptr<http_server::shared_state> m_state;
   std::uint64_t m_id;
   boost::beast::flat_buffer m_buffer;
   std::optional<http::request_parser<bounded_body>> m_parser;
@@ -227,6 +263,9 @@
   bool m_keep_alive = true;
   bool m_is_head_request = false;
   bool m_handling_request = false;
+  /// The request has no complete answer; counted in the shared state.
+  bool m_unanswered = false;
+  bool m_caller_disconnected = false;
   bool m_timed_out = false;
 };
 
@@ -235,8 +274,7 @@
                          server_hooks hooks)
     : m_loop(loop),
       m_acceptor(loop, tcp::endpoint(asio::ip::make_address(address), port)),
-      m_limits(limits), m_open_connections(std::make_shared<std::size_t>(0)),
-      m_keep_alive_disabled(std::make_shared<bool>(false)) {
+      m_limits(limits), m_state(std::make_shared<shared_state>()) {
   if (!hooks.encode) {
     hooks.encode = to_http;
   }
@@ -247,7 +285,7 @@
 http_server::~http_server() { stop_accepting(); }
 
 void http_server::stop_accepting() {
-  *m_keep_alive_disabled = true;
+  m_state->keep_alive_disabled = true;
   error_code ignored;
   m_acceptor.close(ignored);
 }
@@ -259,8 +297,7 @@
     }
     if (!ec) {
       std::make_shared<http_session>(std::move(socket), m_limits, m_hooks,
-                                     m_open_connections, m_keep_alive_disabled,
-                                     ++m_last_connection_id)
+                                     m_state, ++m_last_connection_id)
           ->start();
     }
     accept();
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -3,6 +3,7 @@
 #define KINGCUPSLIP_NET_HTTP_SERVER_HPP
 
 #include "kingcupslip/core/entry_stage.hpp"
+#include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/outcome.hpp"
 #include "kingcupslip/net/loop.hpp"
 
@@ -38,12 +39,13 @@
 
 class http_session;
 
-/// Callbacks of a server. `on_disconnect` may be null. A null `encode` stands
-/// for `to_http`, which encodes refusals as problem documents.
+/// Callbacks of a server. `on_disconnect` and `log` may be null. A null
+/// `encode` stands for `to_http`, which encodes refusals as problem documents.
 struct server_hooks {
   request_handler on_request;
   disconnect_handler on_disconnect;
   response_encoder encode;
+  event_sink log = nullptr;
 };
 
 /// Accepts connections, reads requests and sends their responses. Runs on
@@ -58,25 +60,37 @@
 
   std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
   /// Number of open connections.
-  std::size_t connections() const { return *m_open_connections; }
+  std::size_t connections() const { return m_state->open_connections; }
+  /// Number of requests whose answers are not completely written yet. A
+  /// request counts from when it has been read, or could not be read, until
+  /// the kernel has taken its answer or its connection has closed.
+  std::size_t unanswered_requests() const {
+    return m_state->unanswered_requests;
+  }
 
   /// Each connection closes after its next response. New connections are
   /// still accepted.
-  void disable_keep_alive() { *m_keep_alive_disabled = true; }
+  void disable_keep_alive() { m_state->keep_alive_disabled = true; }
 
   /// Stops listening. Open connections close after their next response.
   void stop_accepting();
 
 private:
   friend class http_session;
+  /// What the connections share; it outlives the server.
+  struct shared_state {
+    std::size_t open_connections = 0;
+    std::size_t unanswered_requests = 0;
+    bool keep_alive_disabled = false;
+  };
+
   void accept();
 
   io_loop& m_loop;
   boost::asio::ip::tcp::acceptor m_acceptor;
   server_limits m_limits;
   std::shared_ptr<const server_hooks> m_hooks;
-  std::shared_ptr<std::size_t> m_open_connections;
-  std::shared_ptr<bool> m_keep_alive_disabled;
+  std::shared_ptr<shared_state> m_state;
   std::uint64_t m_last_connection_id = 0;
 };
 
