HTTP server: an expired timer acts only on what it was started for

What callers saw: a request on a kept connection was read and passed on, and its connection was closed without an answer; or a request got 408 although it had arrived in time; or the node went on with the request of a caller that had gone.

Cause: cancelling or restarting a timer does not revoke its handler once the timer has expired. If the loop is held up beyond a limit, the bytes that have arrived and the expired timer are handled in one pass: first the read, then the handler of the timer. The idle timer's handler closed the socket under the read of a request, which could still complete. The handler of the request's timer marked the connection as timed out, for good, and cancelled the watch for the caller's disconnect.

Why it works: a timer has a number, its handler compares it with the number of the timer that was last started or stopped. A connection with unread bytes is not idle. A request that was read whole is handled, whatever the timer did meanwhile. A cancel that meets a read which has just completed a part is repeated after another limit; it was lost before.

--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -83,37 +83,51 @@
       read_request();
       return;
     }
-    start_timer(m_limits.idle_timeout,
-                [](http_session& s) { s.cut("idle_timeout"); });
+    start_timer(m_limits.idle_timeout, &http_session::on_idle_timeout);
     const std::shared_ptr<http_session> self = shared_from_this();
     m_socket.async_wait(tcp::socket::wait_read, [self](const error_code& ec) {
       if (!ec) {
+        self->stop_timer();
         self->read_request();
       }
     });
   }
 
+  void on_idle_timeout() {
+    error_code ignored;
+    if (m_socket.available(ignored) > 0) {
+      // The handler of the wait runs next: the loop was held up.
+      return;
+    }
+    cut("idle_timeout");
+  }
+
   void read_request() {
     m_parser.emplace();
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_limits.max_header_bytes));
     m_parser->body_limit(m_limits.max_body_bytes);
     m_parser->get().body().max_bytes = m_limits.max_body_bytes;
-    start_timer(m_limits.request_timeout, [](http_session& s) {
-      error_code ignored;
-      s.m_timed_out = true;
-      s.m_socket.cancel(ignored);
-    });
+    m_timed_out = false;
+    start_timer(m_limits.request_timeout, &http_session::on_request_timeout);
     const std::shared_ptr<http_session> self = shared_from_this();
     http::async_read(m_socket, m_buffer, *m_parser,
                      [self](const error_code& ec, std::size_t) {
-                       self->m_timer.cancel();
+                       self->stop_timer();
                        self->on_read(ec);
                      });
   }
 
+  void on_request_timeout() {
+    error_code ignored;
+    m_timed_out = true;
+    m_socket.cancel(ignored);
+    // A read that had just completed continues: it is cancelled next time.
+    start_timer(m_limits.request_timeout, &http_session::on_request_timeout);
+  }
+
   void on_read(const error_code& ec) {
-    if (m_timed_out) {
+    if (ec == asio::error::operation_aborted && m_timed_out) {
       refuse(reason::too_slow);
       return;
     }
@@ -211,18 +225,26 @@
                       });
   }
 
-  template <class Action>
-  void start_timer(std::chrono::milliseconds timeout, Action action) {
+  void start_timer(std::chrono::milliseconds timeout,
+                   void (http_session::*action)()) {
     m_timer.expires_after(timeout);
+    const std::uint64_t number = ++m_timer_number;
     const std::weak_ptr<http_session> weak = shared_from_this();
-    m_timer.async_wait([weak, action](const error_code& ec) {
+    m_timer.async_wait([weak, number, action](const error_code& ec) {
       const std::shared_ptr<http_session> self = weak.lock();
-      if (!ec && self) {
-        action(*self);
+      if (!ec && self && self->m_timer_number == number) {
+        (self.get()->*action)();
       }
     });
   }
 
+  /// The handler of a timer that has expired cannot be revoked, so it compares
+  /// the number with which the timer was started.
+  void stop_timer() {
+    ++m_timer_number;
+    m_timer.cancel();
+  }
+
   void set_unanswered(bool is_unanswered) {
     if (m_unanswered != is_unanswered) {
       m_unanswered = is_unanswered;
@@ -246,13 +268,15 @@
   void close() {
     set_unanswered(false);
     error_code ignored;
-    m_timer.cancel();
+    stop_timer();
     m_socket.shutdown(tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
   }
 
   tcp::socket m_socket;
   asio::steady_timer m_timer;
+  /// Number of the timer that was last started or stopped.
+  std::uint64_t m_timer_number = 0;
   const server_limits m_limits;
   std::shared_ptr<const server_hooks> m_hooks;
   std::shared_ptr<http_server::shared_state> m_state;
