HTTP server: unread bytes do not hide a caller's disconnect

Cause: the wait for a disconnect ends when bytes arrive, and was not started again. On a kept connection it also outlived its request: after an answer whose next request had come with the first, two waits reported the same disconnect.

Before the fix both new tests failed: a_disconnect_behind_a_next_request_is_noticed: CHECK(s.run_until(notice_limit, ... s.disconnects == 1)) failed a_disconnect_is_reported_once_on_a_kept_connection: expected <1 (0x1)> but was <2 (0x2)>

Why it works: poll() reports a closed peer also behind unread bytes, and while there are any it is asked every 100 ms. The bytes stay unread, so that a next request is not read before it can be handled. The wait is cancelled when its request is answered, and compares the request's number.

--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <poll.h>
 #include <utility>
 
 namespace kingcupslip {
@@ -26,6 +27,18 @@
 /// at most this many times the limit of a head.
 constexpr std::size_t unparsed_heads = 2;
 
+/// How often a connection with unread bytes is checked for a disconnect.
+constexpr std::chrono::milliseconds disconnect_check_period{100};
+
+/// Whether the peer has closed, or shut down its direction; unread bytes do
+/// not hide it.
+bool is_disconnected(tcp::socket& socket) {
+  pollfd p{};
+  p.fd = socket.native_handle();
+  p.events = POLLRDHUP;
+  return poll(&p, 1, 0) > 0 && p.revents != 0;
+}
+
 /// The reason for which a request that could not be read is refused; null if
 /// the connection closes without a response.
 std::optional<reason> reason_for(const error_code& ec) {
@@ -149,11 +162,12 @@
     }
     r.body = std::move(request.body().bytes);
     m_handling_request = true;
+    ++m_request_number;
     set_unanswered(true);
     watch_for_disconnect();
     const std::shared_ptr<http_session> self = shared_from_this();
     m_hooks->on_request(std::move(r), [self](outcome o) {
-      self->m_handling_request = false;
+      self->end_watch();
       self->respond(std::move(o));
     });
   }
@@ -162,27 +176,35 @@
   /// what detects that the caller has disconnected.
   void watch_for_disconnect() {
     const std::weak_ptr<http_session> weak = shared_from_this();
-    m_socket.async_wait(tcp::socket::wait_read, [weak](const error_code& ec) {
-      const std::shared_ptr<http_session> self = weak.lock();
-      if (!self || ec || !self->m_handling_request) {
-        return;
-      }
-      error_code ignored;
-      char byte = 0;
-      self->m_socket.non_blocking(true, ignored);
-      error_code peek_error;
-      self->m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
-                             peek_error);
-      const bool disconnected =
-          peek_error && peek_error != asio::error::would_block;
-      if (!disconnected) {
-        return;
-      }
-      self->m_caller_disconnected = true;
-      if (self->m_hooks->on_disconnect) {
-        self->m_hooks->on_disconnect(self->m_id);
-      }
-    });
+    const std::uint64_t number = m_request_number;
+    m_socket.async_wait(
+        tcp::socket::wait_read, [weak, number](const error_code& ec) {
+          const std::shared_ptr<http_session> self = weak.lock();
+          if (!ec && self && self->m_handling_request &&
+              self->m_request_number == number) {
+            self->check_for_disconnect();
+          }
+        });
+  }
+
+  void check_for_disconnect() {
+    if (!is_disconnected(m_socket)) {
+      // The bytes of a next request, left unread until this one is answered,
+      // would end another wait at once.
+      start_timer(disconnect_check_period, &http_session::check_for_disconnect);
+      return;
+    }
+    m_caller_disconnected = true;
+    if (m_hooks->on_disconnect) {
+      m_hooks->on_disconnect(m_id);
+    }
+  }
+
+  void end_watch() {
+    error_code ignored;
+    m_handling_request = false;
+    stop_timer();
+    m_socket.cancel(ignored);
   }
 
   void refuse(reason why) {
@@ -287,6 +309,7 @@
   bool m_keep_alive = true;
   bool m_is_head_request = false;
   bool m_handling_request = false;
+  std::uint64_t m_request_number = 0;
   /// The request has no complete answer; counted in the shared state.
   bool m_unanswered = false;
   bool m_caller_disconnected = false;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -223,3 +223,33 @@
   CHECK(caller.ended);
   LONGS_EQUAL(0, s.causes.size());
 }
+
+// A disconnect after the bytes of a next request went unnoticed.
+TEST(http_server, a_disconnect_behind_a_next_request_is_noticed) {
+  served s({});
+  s.answers_at_once = false;
+  raw_caller caller(s);
+  caller.send(request);
+  CHECK(s.run_until(patience_of_test, [&s] { return s.requests == 1; }));
+  caller.send(request);
+  s.run_for(milliseconds(50));
+  caller.close();
+  CHECK(s.run_until(notice_limit, [&s] { return s.disconnects == 1; }));
+  s.run_for(milliseconds(50));
+  LONGS_EQUAL(1, s.disconnects);
+}
+
+// Each request on a kept connection left a wait behind, and each of these
+// reported the disconnect.
+TEST(http_server, a_disconnect_is_reported_once_on_a_kept_connection) {
+  served s({});
+  s.answers_at_once = false;
+  raw_caller caller(s);
+  caller.send(request + request);
+  CHECK(s.run_until(patience_of_test, [&s] { return s.requests == 1; }));
+  s.answer(s.held[0]);
+  CHECK(s.run_until(patience_of_test, [&s] { return s.requests == 2; }));
+  caller.close();
+  s.run_for(notice_limit);
+  LONGS_EQUAL(1, s.disconnects);
+}
