HTTP server: discard what a caller still sends before a close

What callers saw: an answer that ended early, or a reset while they were still sending, when their connection was closed with bytes that the node had not read: a next request sent before the answer, the rest of a body that was refused.

Cause: the kernel resets a connection that is closed with unread bytes, and drops what it has not delivered of the answer.

Why it works: after the last answer only the send direction is shut down; the node reads and discards until the caller closes, for at most 2 s and 16 MiB, and then closes. At most 64 connections beyond max_connections wait so, the others are closed as before. Such a connection counts in connections(), not in unanswered_requests(), so it does not delay the end of the process. The body of an answer is freed when it has been written, not with the next answer.

--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -27,6 +27,14 @@
 /// at most this many times the limit of a head.
 constexpr std::size_t unparsed_heads = 2;
 
+/// How long, and how many bytes of what a caller sends are discarded after an
+/// answer that ends its connection.
+constexpr std::chrono::milliseconds discard_timeout{2000};
+constexpr std::size_t max_discarded_bytes = 16UL * 1024 * 1024;
+/// So many connections beyond the limit, refused or closing, may wait for
+/// their callers to close.
+constexpr std::size_t max_connections_beyond_limit = 64;
+
 /// How often a connection with unread bytes is checked for a disconnect.
 constexpr std::chrono::milliseconds disconnect_check_period{100};
 
@@ -239,11 +247,9 @@
                           return;
                         }
                         self->set_unanswered(false);
-                        if (!keep_open) {
-                          self->close();
-                          return;
-                        }
-                        self->wait_for_request();
+                        self->m_response = {};
+                        keep_open ? self->wait_for_request()
+                                  : self->close_after_answer();
                       });
   }
 
@@ -287,6 +293,34 @@
     close();
   }
 
+  /// A close with unread bytes resets the connection, and a reset destroys
+  /// what the caller has not received yet. So the caller is told of the end,
+  /// and what it still sends is discarded until it closes.
+  void close_after_answer() {
+    if (m_state->open_connections >
+        m_limits.max_connections + max_connections_beyond_limit) {
+      close();
+      return;
+    }
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    start_timer(discard_timeout, &http_session::close);
+    discard_received();
+  }
+
+  void discard_received() {
+    m_buffer.clear();
+    const std::shared_ptr<http_session> self = shared_from_this();
+    m_socket.async_read_some(m_buffer.prepare(m_buffer.max_size()),
+                             [self](const error_code& ec, std::size_t n) {
+                               self->m_discarded_bytes += n;
+                               ec || self->m_discarded_bytes >
+                                           max_discarded_bytes
+                                   ? self->close()
+                                   : self->discard_received();
+                             });
+  }
+
   void close() {
     set_unanswered(false);
     error_code ignored;
@@ -314,6 +348,7 @@
   bool m_unanswered = false;
   bool m_caller_disconnected = false;
   bool m_timed_out = false;
+  std::size_t m_discarded_bytes = 0;
 };
 
 http_server::http_server(io_loop& loop, const std::string& address,
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -88,8 +88,8 @@
   }
 
   /// Sends what the buffers take; the rest is sent as the server reads.
-  void send(std::string text) {
-    m_unsent += std::move(text);
+  void send(const std::string& text) {
+    m_unsent += text;
     send_some();
   }
   void send_some() {
@@ -253,3 +253,53 @@
   s.run_for(notice_limit);
   LONGS_EQUAL(1, s.disconnects);
 }
+
+// The bytes of a next request, unread when the connection was closed, reset it
+// before the caller had read the answer.
+TEST(http_server, an_answer_survives_a_close_with_unread_bytes) {
+  served s({});
+  s.answers_at_once = false;
+  s.answer_bytes = 1024UL * 1024;
+  raw_caller caller(s, 4096);
+  caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(s.run_until(patience_of_test, [&s] { return s.requests == 1; }));
+  caller.send(request);
+  s.answer(s.held.front());
+  s.run_for(milliseconds(200));
+  const std::string received = caller.read_until("never");
+  CHECK(received.size() > s.answer_bytes);
+}
+
+// The rest of a refused body reset the connection of a caller that sends it
+// all before it reads.
+TEST(http_server, a_refused_body_can_be_sent_to_its_end) {
+  server_limits limits;
+  limits.max_body_bytes = 1024;
+  served s(limits);
+  raw_caller caller(s);
+  const std::size_t n = 4UL * 1024 * 1024;
+  caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+              std::to_string(n) + "\r\n\r\n" + std::string(n, 'b'));
+  s.run_until(patience_of_test, [&caller] {
+    caller.send_some();
+    return caller.all_sent() || caller.send_failed;
+  });
+  CHECK_FALSE(caller.send_failed || caller.reset);
+  STRCMP_EQUAL("HTTP/1.1 413 Payload Too Large",
+               status_line(caller.read_until("never")).c_str());
+}
+
+// The unread request of a connection beyond the limit reset it.
+TEST(http_server, a_connection_beyond_the_limit_gets_its_refusal) {
+  server_limits limits;
+  limits.max_connections = 1;
+  served s(limits);
+  raw_caller first(s);
+  s.run_for(milliseconds(20));
+  raw_caller second(s);
+  second.send(request);
+  s.run_for(milliseconds(50));
+  STRCMP_EQUAL("HTTP/1.1 503 Service Unavailable",
+               status_line(second.read_until("never")).c_str());
+  CHECK_FALSE(second.send_failed || second.reset);
+}
