HTTP server: a caller may pause while it reads its answer

What callers saw: an answer larger than the buffers ended early when its reader paused for more than 4 s.

Cause: the user timeout of 4 s on callers' connections. Linux also applies it to a peer that acknowledges every probe of a closed window. The answer that was cut was not seen to be in progress by anything else: nothing bounded a write.

Before the fix a_caller_may_pause_while_it_reads_its_answer failed: LONGS_EQUAL(0, s.causes.size()) failed, but was <1 (0x1)> (one caller_connection_cut, 6 s into a pause).

Change: callers' connections keep keep-alive but have no user timeout. Instead a write ends after 30 s (answer_stall_timeout) in which the caller has taken no byte. What it has taken is read from the kernel's send queue, since the kernel reports room only when much of its buffer is free: with that check taken out, a_caller_that_reads_slowly_is_not_cut fails. A caller's connection that is lost while an answer is on its way is now detected after 30 s and not after 4 s; idle, or while a request runs, still by keep-alive.

--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -9,8 +9,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <linux/sockios.h>
 #include <optional>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <utility>
 
 namespace kingcupslip {
@@ -47,6 +49,13 @@
   return poll(&p, 1, 0) > 0 && p.revents != 0;
 }
 
+/// Bytes that the kernel holds because the peer has not received them yet.
+int undelivered_bytes(tcp::socket& socket) {
+  int n = 0;
+  ioctl(socket.native_handle(), SIOCOUTQ, &n);
+  return n;
+}
+
 /// The reason for which a request that could not be read is refused; null if
 /// the connection closes without a response.
 std::optional<reason> reason_for(const error_code& ec) {
@@ -80,7 +89,7 @@
         m_limits(limits), m_hooks(std::move(hooks)), m_state(std::move(state)),
         m_id(id), m_buffer(unparsed_heads * m_limits.max_header_bytes) {
     ++m_state->open_connections;
-    set_socket_options(m_socket);
+    set_caller_socket_options(m_socket);
   }
 
   http_session(const http_session&) = delete;
@@ -232,25 +241,52 @@
     for (const header& it : out.headers) {
       m_response.insert(it.name, it.value);
     }
-    const bool keep_open = m_keep_alive && !m_state->keep_alive_disabled;
-    m_response.keep_alive(keep_open);
+    m_keep_open = m_keep_alive && !m_state->keep_alive_disabled;
+    m_response.keep_alive(m_keep_open);
     m_response.body() = std::move(out.body);
     m_response.prepare_payload();
     if (m_is_head_request) {
       m_response.body().clear();
     }
+    m_serializer.emplace(m_response);
+    write_response();
+  }
+
+  void write_response() {
+    start_timer(m_limits.answer_stall_timeout, &http_session::on_answer_stall);
     const std::shared_ptr<http_session> self = shared_from_this();
-    http::async_write(m_socket, m_response,
-                      [self, keep_open](const error_code& ec, std::size_t) {
-                        if (ec) {
-                          self->cut("write_failed", ec.message());
-                          return;
-                        }
-                        self->set_unanswered(false);
-                        self->m_response = {};
-                        keep_open ? self->wait_for_request()
-                                  : self->close_after_answer();
-                      });
+    http::async_write_some(
+        m_socket, *m_serializer,
+        [self](const error_code& ec, std::size_t) { self->on_write(ec); });
+    m_undelivered_bytes = undelivered_bytes(m_socket);
+  }
+
+  void on_write(const error_code& ec) {
+    if (ec) {
+      cut("write_failed", ec.message());
+      return;
+    }
+    if (!m_serializer->is_done()) {
+      write_response();
+      return;
+    }
+    stop_timer();
+    set_unanswered(false);
+    m_serializer.reset();
+    m_response = {};
+    m_keep_open ? wait_for_request() : close_after_answer();
+  }
+
+  /// The kernel reports room for more only when much of its buffer is free, so
+  /// a caller that reads slowly is known by the bytes that it has taken.
+  void on_answer_stall() {
+    const int undelivered = undelivered_bytes(m_socket);
+    if (undelivered >= m_undelivered_bytes) {
+      cut("answer_stalled");
+      return;
+    }
+    m_undelivered_bytes = undelivered;
+    start_timer(m_limits.answer_stall_timeout, &http_session::on_answer_stall);
   }
 
   void start_timer(std::chrono::milliseconds timeout,
@@ -340,7 +376,10 @@
   boost::beast::flat_buffer m_buffer;
   std::optional<http::request_parser<bounded_body>> m_parser;
   http::response<byte_body> m_response;
+  std::optional<http::response_serializer<byte_body>> m_serializer;
+  int m_undelivered_bytes = 0;
   bool m_keep_alive = true;
+  bool m_keep_open = false;
   bool m_is_head_request = false;
   bool m_handling_request = false;
   std::uint64_t m_request_number = 0;
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -25,6 +25,9 @@
   std::chrono::milliseconds request_timeout{10'000};
   /// Time without a request after which a connection is closed.
   std::chrono::milliseconds idle_timeout{60'000};
+  /// Time in which a caller takes no byte of its answer, after which the
+  /// connection is closed.
+  std::chrono::milliseconds answer_stall_timeout{30'000};
 };
 
 /// Sends the response to one request. Must be called exactly once, on the
--- a/src/kingcupslip/net/socket_options.cpp
+++ b/src/kingcupslip/net/socket_options.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-void set_socket_options(boost::asio::ip::tcp::socket& socket) {
+void set_caller_socket_options(boost::asio::ip::tcp::socket& socket) {
   boost::system::error_code ec;
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
   socket.set_option(boost::asio::socket_base::keep_alive(true), ec);
@@ -28,7 +28,11 @@
   set_tcp_option(fd, TCP_KEEPIDLE, keepalive_idle_s);
   set_tcp_option(fd, TCP_KEEPINTVL, keepalive_interval_s);
   set_tcp_option(fd, TCP_KEEPCNT, keepalive_probes);
-  set_tcp_option(fd, TCP_USER_TIMEOUT, user_timeout_ms);
+}
+
+void set_socket_options(boost::asio::ip::tcp::socket& socket) {
+  set_caller_socket_options(socket);
+  set_tcp_option(socket.native_handle(), TCP_USER_TIMEOUT, user_timeout_ms);
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/net/socket_options.hpp
+++ b/src/kingcupslip/net/socket_options.hpp
@@ -12,6 +12,11 @@
 /// connection works without the options.
 void set_socket_options(boost::asio::ip::tcp::socket& socket);
 
+/// The same without the user timeout, which also ends the connection of a peer
+/// that acknowledges but does not read: callers may read slowly. A connection
+/// that is lost while bytes for the peer are on their way is not detected.
+void set_caller_socket_options(boost::asio::ip::tcp::socket& socket);
+
 } // namespace kingcupslip
 
 #endif
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -123,6 +123,12 @@
     });
     return received;
   }
+  /// Reads what has arrived, at most `max_bytes`.
+  std::size_t read_some(std::size_t max_bytes) {
+    std::string block(max_bytes, ' ');
+    error_code ignored;
+    return m_socket.read_some(asio::buffer(block), ignored);
+  }
   std::string read_answer() { return read_until("\r\n\r\naa"); }
   void close() { m_socket.close(); }
 
@@ -303,3 +309,50 @@
                status_line(second.read_until("never")).c_str());
   CHECK_FALSE(second.send_failed || second.reset);
 }
+
+// The kernel cut the answer of a caller that did not read for four seconds.
+TEST(http_server, a_caller_may_pause_while_it_reads_its_answer) {
+  served s({});
+  s.answer_bytes = 16UL * 1024 * 1024;
+  raw_caller caller(s, 4096);
+  caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  s.run_for(milliseconds(6000));
+  LONGS_EQUAL(0, s.causes.size());
+  LONGS_EQUAL(1, s.server.unanswered_requests());
+  const std::string received = caller.read_until("never");
+  CHECK(received.size() > s.answer_bytes);
+  LONGS_EQUAL(0, s.server.unanswered_requests());
+}
+
+// A caller that took nothing of its answer held its memory for ever.
+TEST(http_server, a_caller_that_reads_nothing_is_cut) {
+  server_limits limits;
+  limits.answer_stall_timeout = short_limit;
+  served s(limits);
+  s.answer_bytes = 16UL * 1024 * 1024;
+  raw_caller caller(s, 4096);
+  caller.send(request);
+  CHECK(s.run_until(patience_of_test, [&s] { return !s.causes.empty(); }));
+  STRCMP_EQUAL("answer_stalled", s.causes.front().c_str());
+  LONGS_EQUAL(0, s.server.unanswered_requests());
+}
+
+// The bound on a stalled answer must not cut a caller that reads slowly.
+TEST(http_server, a_caller_that_reads_slowly_is_not_cut) {
+  server_limits limits;
+  limits.answer_stall_timeout = milliseconds(1000);
+  served s(limits);
+  s.answer_bytes = 16UL * 1024 * 1024;
+  raw_caller caller(s, 4096);
+  caller.send(request);
+  std::size_t received = 0;
+  // Less than what makes the kernel report room for more.
+  const instant end = read_clocks().now + 5 * limits.answer_stall_timeout / 2;
+  while (read_clocks().now < end) {
+    s.run_for(milliseconds(50));
+    received += caller.read_some(4096);
+  }
+  CHECK(received > 4096);
+  LONGS_EQUAL(0, s.causes.size());
+  LONGS_EQUAL(1, s.server.unanswered_requests());
+}
