Graceful stop: the process waits until its answers are written

What callers saw: a caller that was still reading its answer when the node of its connection ended got a part of it.

Cause: a request counted as finished when its answer was handed to the socket. The process ended 0.2 s after the last one, whatever was still in its buffers.

Change: both daemons stop when the server has no unanswered requests, at the latest 0.25 s before the end of the grace period (kingcupslipd: 2 s after it has left); node_stopped_busy tells what was left. Callers' servers log the connections that they cut.

--- a/src/kingcupslip/daemon/node_daemon.cpp
+++ b/src/kingcupslip/daemon/node_daemon.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_period{5};
+/// How long the process waits, once drained, for answers to be written.
+constexpr duration answer_flush_time = std::chrono::seconds(2);
 constexpr duration peer_check_period = std::chrono::milliseconds(500);
 constexpr std::string_view internal_path_prefix = "/-/";
 
@@ -46,7 +48,7 @@
                    [this](std::uint64_t connection) {
                      refresh_clock().on_caller_disconnected(connection);
                    },
-                   nullptr});
+                   nullptr, m_log});
   m_announcement_server = std::make_unique<http_server>(
       m_loop, settings.announcements.ip, settings.announcements.port,
       settings.limits,
@@ -173,7 +175,7 @@
     // another node.
     m_caller_server->stop_accepting();
   }
-  if (m_node->drained()) {
+  if (may_exit()) {
     m_loop.stop();
     return;
   }
@@ -185,6 +187,21 @@
   });
 }
 
+bool node_daemon::may_exit() {
+  const instant now = m_node->clock().now;
+  if (!m_node->drained()) {
+    m_drained_at = now;
+    return false;
+  }
+  const std::size_t unanswered = m_caller_server->unanswered_requests();
+  const bool exits = unanswered == 0 || now - m_drained_at >= answer_flush_time;
+  if (exits && unanswered > 0) {
+    m_log(event_id::node_stopped_busy,
+          {{"unanswered", std::to_string(unanswered)}});
+  }
+  return exits;
+}
+
 void node_daemon::wait_for_signal() {
   m_signals.async_wait([this](const boost::system::error_code& ec, int) {
     if (!ec) {
--- a/src/kingcupslip/daemon/node_daemon.hpp
+++ b/src/kingcupslip/daemon/node_daemon.hpp
@@ -39,6 +39,9 @@
                             const response_sender& send);
   void tick();
   void wait_for_signal();
+  /// Whether a graceful shutdown is complete, answers to callers included, or
+  /// has to end now.
+  bool may_exit();
   /// Sets the node's clock to the present time and returns the node.
   node& refresh_clock();
 
@@ -57,6 +60,7 @@
   std::unique_ptr<admin_service> m_admin_service;
   std::unique_ptr<admin_listener> m_admin_listener;
   instant m_peers_checked_at{0};
+  instant m_drained_at{0}; ///< kept up to date until the node is drained
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -56,7 +56,7 @@
                          [this](std::uint64_t connection) {
                            refresh_clock().on_caller_disconnected(connection);
                          },
-                         m_protocol.encode_response});
+                         m_protocol.encode_response, m_log});
   m_readiness_server =
       listen(settings.readiness,
              {[this](const caller_request& r, const response_sender& send) {
@@ -201,7 +201,7 @@
     // another node.
     m_caller_server->disable_keep_alive();
   }
-  if (m_node->drained()) {
+  if (may_exit()) {
     m_loop.stop();
     return;
   }
@@ -213,6 +213,17 @@
   });
 }
 
+bool routed_daemon::may_exit() const {
+  const std::size_t unanswered = m_caller_server->unanswered_requests();
+  const bool exits =
+      m_node->drained() && (unanswered == 0 || m_node->must_exit());
+  if (exits && unanswered > 0) {
+    m_log(event_id::node_stopped_busy,
+          {{"unanswered", std::to_string(unanswered)}});
+  }
+  return exits;
+}
+
 void routed_daemon::wait_for_signal() {
   m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
     if (ec) {
--- a/src/kingcupslip/daemon/routed_daemon.hpp
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -67,6 +67,9 @@
   /// Applies the settings that can change while the process runs: limits and
   /// periods. Settings with errors change nothing.
   void reload_settings();
+  /// Whether a graceful shutdown is complete, answers to callers included, or
+  /// has to end now.
+  bool may_exit() const;
   /// Sets the node's clock to the present time and returns the node.
   routed_node& refresh_clock();
 
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -419,6 +420,74 @@
                                      "node_draining", "node_stopped")
                          if n in node.event_names()]
 
+    def keep_alive_exchange(self, connection, body=b"b", before_answer=None):
+        """Sends a request of a long route on an open connection."""
+        self.next_id += 1
+        try:
+            connection.request("POST", "/long/a", body, {
+                "Host": "h.example", "X-Api-Key": "key-one",
+                "X-Kingcupslip-Request-Id": f"q{self.next_id}",
+                "X-Kingcupslip-Request-Deadline": "20000"})
+            if before_answer:
+                before_answer()
+            answer = connection.getresponse()
+            return answer.status, len(answer.read())
+        except (OSError, http.client.HTTPException) as e:
+            return "no answer: " + type(e).__name__
+
+    def start_again(self, node):
+        node.endpoint.delay = 0
+        node.start()
+        self.wait(node.is_ready)
+        connection = http.client.HTTPConnection("127.0.0.1", node.callers,
+                                                timeout=20)
+        self.wait(lambda: self.keep_alive_exchange(connection)[0] == 200)
+        return connection
+
+    def stop_with_requests(self):
+        """SIGTERM: kept connections get whole answers before the exit."""
+        self.store.put("op", "config", desired_state(
+            "r11", [*ROUTES, route("long", "/long/", "non_idempotent",
+                                   **{"timeout-s": 30})]))
+        node = self.nodes[1]
+        early, late, slow = (self.start_again(node) if i == 0 else
+                             http.client.HTTPConnection(
+                                 "127.0.0.1", node.callers, timeout=20)
+                             for i in range(3))
+        body = b"x" * 6_000_000
+        got = {}
+
+        def run(name, connection, **more):
+            got[name] = self.keep_alive_exchange(connection, **more)
+
+        def stop_reading():
+            time.sleep(5.5)
+
+        slow.connect()
+        slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 262144)
+        threads = [threading.Thread(target=run, args=("slow reader", slow),
+                                    kwargs={"body": body,
+                                            "before_answer": stop_reading})]
+        threads[0].start()
+        time.sleep(1)
+        for n in self.nodes:
+            n.endpoint.delay = 10
+        threads.append(threading.Thread(target=run,
+                                        args=("outlasts the grace", early)))
+        threads[1].start()
+        time.sleep(0.3)
+        node.process.send_signal(signal.SIGTERM)
+        time.sleep(2.5)
+        threads.append(threading.Thread(target=run, args=("taken late", late)))
+        threads[2].start()
+        exit_status = node.process.wait(10)
+        for it in threads:
+            it.join()
+        for name in sorted(got):
+            yield name, got[name] if name != "slow reader" else (
+                got[name] == (200, len(b"ran " + body)))
+        yield "exit", exit_status
+
     def stalled_reader(self):
         """Nobody reads a node's log: it still serves requests and stops."""
         node = self.nodes[1]
@@ -443,6 +512,7 @@
                         self.check_ins,
                         self.reload, self.changes, self.outage,
                         self.restored_store, self.graceful_stop,
+                        self.stop_with_requests,
                         self.stalled_reader):
             began = time.monotonic()
             text = "".join(f"{k}: {v}\n" for k, v in session())
