HTTP server: wait before accepting again after a failure

What callers saw: a node without a free descriptor, or one that stopped listening just when connections arrived, used its whole loop for accepts that failed, and answered late.

Cause: after an error the server accepted again at once. Without descriptors that fails at once; on a closed listening socket the error is not the one of a cancelled accept, so it went on without end. The handler of an accept that had completed also used the server after its destruction.

Before the fix two of the new tests failed: no_free_descriptor_does_not_occupy_the_loop: CHECK(handlers <= max_handlers_without_work) failed a_stop_between_accepts_does_not_occupy_the_loop: CHECK(s.run_for(held_up) <= max_handlers_without_work) failed a_kept_connection_gets_its_answer_after_a_stop passed before; it shows that stop_accepting() cuts neither an idle kept connection nor a request that is being read.

Why it works: after an error the server waits 50 ms. Handlers look at a flag in the shared state, which outlives the server, before they use it; a connection that was accepted meanwhile is closed unread. Use after the destruction has no test of its own.

--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -37,6 +37,9 @@
 /// their callers to close.
 constexpr std::size_t max_connections_beyond_limit = 64;
 
+/// How long the server waits before it accepts again after a failure.
+constexpr std::chrono::milliseconds accept_retry_period{50};
+
 /// How often a connection with unread bytes is checked for a disconnect.
 constexpr std::chrono::milliseconds disconnect_check_period{100};
 
@@ -393,9 +396,9 @@
 http_server::http_server(io_loop& loop, const std::string& address,
                          std::uint16_t port, server_limits limits,
                          server_hooks hooks)
-    : m_loop(loop),
-      m_acceptor(loop, tcp::endpoint(asio::ip::make_address(address), port)),
-      m_limits(limits), m_state(std::make_shared<shared_state>()) {
+    : m_acceptor(loop, tcp::endpoint(asio::ip::make_address(address), port)),
+      m_retry_timer(loop), m_limits(limits),
+      m_state(std::make_shared<shared_state>()) {
   if (!hooks.encode) {
     hooks.encode = to_http;
   }
@@ -407,21 +410,37 @@
 
 void http_server::stop_accepting() {
   m_state->keep_alive_disabled = true;
+  m_state->accepting = false;
+  m_retry_timer.cancel();
   error_code ignored;
   m_acceptor.close(ignored);
 }
 
 void http_server::accept() {
-  m_acceptor.async_accept([this](const error_code& ec, tcp::socket socket) {
-    if (ec == asio::error::operation_aborted) {
-      return;
-    }
-    if (!ec) {
-      std::make_shared<http_session>(std::move(socket), m_limits, m_hooks,
-                                     m_state, ++m_last_connection_id)
-          ->start();
+  // The server may be gone when the handler of a completed accept runs.
+  m_acceptor.async_accept(
+      [this, state = m_state](const error_code& ec, tcp::socket socket) {
+        if (!state->accepting) {
+          return;
+        }
+        if (ec) {
+          accept_later();
+          return;
+        }
+        std::make_shared<http_session>(std::move(socket), m_limits, m_hooks,
+                                       m_state, ++m_last_connection_id)
+            ->start();
+        accept();
+      });
+}
+
+/// Without descriptors an accept fails at once, and again until one is free.
+void http_server::accept_later() {
+  m_retry_timer.expires_after(accept_retry_period);
+  m_retry_timer.async_wait([this, state = m_state](const error_code&) {
+    if (state->accepting) {
+      accept();
     }
-    accept();
   });
 }
 
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -8,6 +8,7 @@
 #include "kingcupslip/net/loop.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -75,7 +76,8 @@
   /// still accepted.
   void disable_keep_alive() { m_state->keep_alive_disabled = true; }
 
-  /// Stops listening. Open connections close after their next response.
+  /// Stops listening. Open connections close after their next response. Those
+  /// that have not been accepted yet are closed.
   void stop_accepting();
 
 private:
@@ -85,12 +87,14 @@
     std::size_t open_connections = 0;
     std::size_t unanswered_requests = 0;
     bool keep_alive_disabled = false;
+    bool accepting = true;
   };
 
   void accept();
+  void accept_later();
 
-  io_loop& m_loop;
   boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_retry_timer;
   server_limits m_limits;
   std::shared_ptr<const server_hooks> m_hooks;
   std::shared_ptr<shared_state> m_state;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include <string>
+#include <sys/resource.h>
 #include <thread>
 #include <vector>
 
@@ -27,6 +28,9 @@
 /// A client's disconnect must have taken effect by then.
 constexpr milliseconds notice_limit{500};
 
+/// Many more than a few connections and timers need.
+constexpr std::size_t max_handlers_without_work = 100;
+
 const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// A server whose requests are answered at once, or held.
@@ -61,9 +65,10 @@
     o.body.assign(answer_bytes, 'a');
     send(std::move(o));
   }
-  void run_for(milliseconds span) {
+  /// Returns the number of handlers that ran.
+  std::size_t run_for(milliseconds span) {
     loop.restart();
-    loop.run_for(span);
+    return loop.run_for(span);
   }
   template <class Condition>
   bool run_until(milliseconds span, Condition condition) {
@@ -356,3 +361,52 @@
   LONGS_EQUAL(0, s.causes.size());
   LONGS_EQUAL(1, s.server.unanswered_requests());
 }
+
+// The server tried without a pause to accept when no descriptor was free.
+TEST(http_server, no_free_descriptor_does_not_occupy_the_loop) {
+  served s({});
+  raw_caller caller(s);
+  caller.send(request);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  rlimit none = before;
+  none.rlim_cur = 0;
+  setrlimit(RLIMIT_NOFILE, &none);
+  const std::size_t handlers = s.run_for(held_up);
+  setrlimit(RLIMIT_NOFILE, &before);
+  CHECK(handlers <= max_handlers_without_work);
+  LONGS_EQUAL(0, s.requests);
+  STRCMP_EQUAL(ok_status.c_str(), status_line(caller.read_answer()).c_str());
+}
+
+// A connection accepted when the server stopped listening made it try without
+// a pause to accept again.
+TEST(http_server, a_stop_between_accepts_does_not_occupy_the_loop) {
+  served s({});
+  raw_caller first(s);
+  raw_caller second(s);
+  s.loop.run_one();
+  s.server.stop_accepting();
+  CHECK(s.run_for(held_up) <= max_handlers_without_work);
+}
+
+// Stopping must not cut the request of a kept connection.
+TEST(http_server, a_kept_connection_gets_its_answer_after_a_stop) {
+  served s({});
+  raw_caller caller(s);
+  caller.send(request);
+  caller.read_answer();
+  raw_caller reading(s);
+  reading.send(request.substr(0, 5));
+  s.run_for(milliseconds(50));
+  s.server.stop_accepting();
+  s.run_for(milliseconds(50));
+  caller.send(request);
+  reading.send(request.substr(5));
+  for (raw_caller* it : {&caller, &reading}) {
+    const std::string received = it->read_until("never");
+    STRCMP_EQUAL(ok_status.c_str(), status_line(received).c_str());
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK_FALSE(it->reset);
+  }
+}
