Targets: an answer that does not name its request is not believed

Cause: an exchange skipped an answer only if it named another request. One without an id, which the platform's endpoints repeat in every answer, was taken for the answer to whatever request was on the connection, and so was one that named two. A repeated refusal with its old id was skipped before, too.

Change: an answer counts only if it repeats the id of its request and no other one. Others are skipped; without its own answer a request ends as lost, which is may-have-run. A connection that brought such an answer is not used again. answer_skipped (706) names the request, the status and the answer's id, of which 64 bytes at most are logged.

Answers of the product's own targets and of the store carry no id; they are not covered.

--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -34,9 +34,9 @@
   body_bytes body;
   /// Time limit of the exchange, including the answer.
   duration time_left{0};
-  /// An answer with a different value in the header field of this name belongs
-  /// to another request and is skipped. Empty if targets do not repeat a
-  /// request id in their answers.
+  /// An answer without this header field, or with another value, belongs to
+  /// another request or to none, and is skipped. Empty if targets do not repeat
+  /// a request id in their answers.
   header echoed_header;
 };
 
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -30,7 +30,7 @@
       m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
       m_log(make_event_log(settings.log, settings.node)),
       m_store_client(m_loop, to_endpoint(settings.store)),
-      m_target_client(m_loop, to_endpoint(settings.target)) {
+      m_target_client(m_loop, to_endpoint(settings.target), m_log) {
   const routed_options options = make_node_options(settings);
   m_node = std::make_unique<routed_node>(options, make_node_hooks());
   m_node->set_clock(read_clocks());
--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t max_buffered_response_bytes = 32UL * 1024 * 1024;
 /// Interim responses and those to other requests that may precede a response.
 constexpr std::size_t max_skipped_responses = 16;
+/// Of an id of another request, in the log.
+constexpr std::size_t max_logged_id_bytes = 64;
 
 /// The idle timeout that a peer advertises in `Keep-Alive`, less a margin so
 /// that the client does not reuse a connection that the peer is closing.
@@ -177,13 +179,15 @@
       return;
     }
     http::response<bounded_body> response = m_parser->release();
-    const bool is_for_another_request =
-        !m_correlation_header.name.empty() &&
-        response.count(m_correlation_header.name) != 0 &&
-        response[m_correlation_header.name] != m_correlation_header.value;
     const bool is_interim = http::to_status_class(response.result()) ==
                             http::status_class::informational;
-    if (is_for_another_request || is_interim) {
+    if (is_interim) {
+      skip_response();
+      return;
+    }
+    if (!answers_request(response)) {
+      m_got_stray_response = true;
+      log_stray_response(response);
       skip_response();
       return;
     }
@@ -194,7 +198,8 @@
       out.headers.push_back(
           {std::string(it.name_string()), std::string(it.value())});
     }
-    const bool reusable = response.keep_alive() && m_buffer.size() == 0;
+    const bool reusable =
+        response.keep_alive() && m_buffer.size() == 0 && !m_got_stray_response;
     out.body = std::move(response.body().bytes);
     if (reusable) {
       m_client.add_idle_connection(
@@ -204,6 +209,32 @@
     finish(std::move(out));
   }
 
+  /// Whether the response repeats the id of the request and no other one. One
+  /// without an id may belong to any request, or to none.
+  bool answers_request(const http::response<bounded_body>& response) const {
+    if (m_correlation_header.name.empty()) {
+      return true;
+    }
+    const auto ids = response.equal_range(m_correlation_header.name);
+    return ids.first != ids.second &&
+           std::all_of(ids.first, ids.second,
+                       [this](const http::fields::value_type& it) {
+                         return it.value() == m_correlation_header.value;
+                       });
+  }
+
+  void log_stray_response(const http::response<bounded_body>& response) {
+    if (!m_client.m_log) {
+      return;
+    }
+    const boost::beast::string_view id = response[m_correlation_header.name];
+    m_client.m_log(
+        event_id::answer_skipped,
+        {{"request", m_correlation_header.value},
+         {"status", std::to_string(response.result_int())},
+         {"answer_id", std::string(id.substr(0, max_logged_id_bytes))}});
+  }
+
   void skip_response() {
     if (++m_skipped_responses > max_skipped_responses) {
       finish({exchange_end::lost, 0, {}, {}});
@@ -250,13 +281,14 @@
   std::size_t m_skipped_responses = 0;
   header m_correlation_header;
   instant m_started_at{0};
+  bool m_got_stray_response = false;
   bool m_reused = false;
   bool m_written = false;
 };
 
-http_client::http_client(io_loop& loop, tcp::endpoint endpoint,
+http_client::http_client(io_loop& loop, tcp::endpoint endpoint, event_sink log,
                          std::size_t max_response_bytes)
-    : m_loop(loop), m_endpoint(std::move(endpoint)),
+    : m_loop(loop), m_endpoint(std::move(endpoint)), m_log(std::move(log)),
       m_max_response_bytes(max_response_bytes) {}
 
 http_client::~http_client() {
--- a/src/kingcupslip/net/http_client.hpp
+++ b/src/kingcupslip/net/http_client.hpp
@@ -2,6 +2,7 @@
 #ifndef KINGCUPSLIP_NET_HTTP_CLIENT_HPP
 #define KINGCUPSLIP_NET_HTTP_CLIENT_HPP
 
+#include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/target_stage.hpp"
 #include "kingcupslip/net/loop.hpp"
 
@@ -21,13 +22,15 @@
 /// Sends requests to one endpoint over a pool of persistent connections.
 /// Runs on the loop. The connection that became idle last is reused first; a
 /// connection that the peer has closed, or that was idle for too long, is not
-/// reused. A request is written at most once: a failure after that is
+/// reused, and neither is one that brought an answer to no request or to
+/// another one. A request is written at most once: a failure after that is
 /// reported as `exchange_end::lost` and never retried here.
 class http_client {
 public:
   using result_handler = std::function<void(target_result)>;
 
   http_client(io_loop& loop, boost::asio::ip::tcp::endpoint endpoint,
+              event_sink log = nullptr,
               std::size_t max_response_bytes = 8UL * 1024 * 1024);
   ~http_client();
 
@@ -70,6 +73,7 @@
 
   io_loop& m_loop;
   boost::asio::ip::tcp::endpoint m_endpoint;
+  event_sink m_log;
   std::size_t m_max_response_bytes;
   std::uint64_t m_connections_opened = 0;
   std::size_t m_buffered_bytes = 0; ///< of responses that are being read
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -230,6 +230,46 @@
         self.heartbeats_enabled = True
         self.wait(lambda: self.send("/safe/a")[0] == 200)
 
+    def refuse_on_kept_connections(self):
+        """Has each endpoint refuse a request on the connection that its node
+        uses next; returns the statuses."""
+        for n in self.nodes:
+            n.endpoint.refuses = True
+            n.endpoint.refusals = 0
+        statuses = set()
+        self.wait(lambda: statuses.add(self.send("/once/a")[0])
+                  or all(n.endpoint.refusals > 0 for n in self.nodes))
+        for n in self.nodes:
+            n.endpoint.refuses = False
+        return statuses
+
+    def skipped_answers(self):
+        return sum(n.event_names().count("answer_skipped")
+                   for n in self.nodes)
+
+    def fill_retry_budget(self):
+        for i in range(40):
+            self.send("/safe/a", node=i % 2)
+
+    def repeated_refusals(self):
+        """An endpoint writes an earlier refusal again where the answer to a
+        request that it runs is due."""
+        skipped_before = self.skipped_answers()
+        for how in ("with its id", "without an id", "alone"):
+            yield how, f"refused {self.refuse_on_kept_connections()}"
+            self.fill_retry_budget()
+            before = len(self.requests_seen())
+            for n in self.nodes:
+                n.endpoint.repeats_refusal = how
+            status = self.send("/once/a")[0]
+            for n in self.nodes:
+                n.endpoint.repeats_refusal = None
+            yield "answer", status
+            yield "runs", len(self.requests_seen()) - before
+        self.wait(lambda: self.skipped_answers() >= skipped_before + 3)
+        yield "logged", self.skipped_answers() - skipped_before
+        yield "served", self.wait(lambda: self.send("/safe/a")[0] == 200)
+
     def send_many(self, count, interval):
         """Sends idempotent requests at even intervals; returns statuses."""
         got = []
@@ -508,6 +548,7 @@
     def run(self):
         failures = 0
         for session in (self.requests, self.faulty_endpoints,
+                        self.repeated_refusals,
                         self.target_notices, self.endless_answers,
                         self.check_ins,
                         self.reload, self.changes, self.outage,
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -11,11 +11,16 @@
 import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+NOT_EXECUTED = ("X-Kingcupslip-Not-Executed", "1")
+STRAY_LEAD_SECONDS = 0.1  # from a repeated refusal to the answer that is due
+NO_ANSWER_SECONDS = 3.0  # longer than the callers of the sessions wait
+
 
 class QuietHandler(BaseHTTPRequestHandler):
     """Answers requests without a log."""
 
     protocol_version = "HTTP/1.1"
+    refused_id = None  # of the last request refused on the connection
 
     def log_message(self, *_):
         pass
@@ -213,6 +218,12 @@
         self.delay = 0.0
         self.answers_to_truncate = 0  # answers that end early
         self.answers_to_repeat = 0  # answers that another one follows
+        self.refuses = False  # answers that the request was not run
+        self.refusals = 0
+        # An earlier refusal on the connection, sent before the next answers:
+        # "with its id", "without an id", or "alone" (without an id, and
+        # no answer follows)
+        self.repeats_refusal = None
         self.stated = []  # header fields about itself in each answer
         self.endless_answer = None  # its start, and what is repeated after it
         endpoint = self
@@ -234,8 +245,19 @@
         if fields.get("x-kingcupslip-expected-instance") != self.instance:
             call.reply(421, b"", echo)
             return
+        if self.refuses:
+            self.refusals += 1
+            call.refused_id = request_id
+            call.reply(503, b"", [*echo, NOT_EXECUTED])
+            return
         self.requests.append((call.command, call.path, fields, body,
                               time.monotonic()))
+        if self.repeats_refusal and call.refused_id:
+            self.repeat_refusal(call)
+            if self.repeats_refusal == "alone":
+                time.sleep(NO_ANSWER_SECONDS)
+                call.close_connection = True
+                return
         if self.delay:
             time.sleep(self.delay)
         echo.append(("X-Kingcupslip-Server-Signature", "signed"))
@@ -256,6 +278,12 @@
             self.answers_to_repeat -= 1
             call.reply(200, b"late", [("X-Kingcupslip-Request-Id", "other")])
 
+    def repeat_refusal(self, call):
+        old_id = ([("X-Kingcupslip-Request-Id", call.refused_id)]
+                  if self.repeats_refusal == "with its id" else [])
+        call.reply(503, b"", [*old_id, NOT_EXECUTED])
+        time.sleep(STRAY_LEAD_SECONDS)
+
     def next_heartbeat(self, **changed):
         self.sequence += 1
         return {"service": self.service, "address": self.address,
