Targets: only their own statement proves that a request has not run

What callers saw: for a non-idempotent request that an endpoint had run and answered 408, 421, 429 or 503, they were told the same status, by which the platform promises that it has not run. After 421 it also ran at a second endpoint.

Cause: 421 alone was taken as not run, without X-Kingcupslip-Not-Executed, the only statement of that in the platform's protocol. The other statuses were passed on as the endpoint's own answer, also without the statement.

Change: 421 still stops the sending until the next announcement, but the request counts as not run only if the answer says so. A caller gets 502 without the endpoint's signature in place of these four statuses if the statement is missing. The stand-in's 421 for another instance now has the statement, as the protocol says; the approved session for that case is unchanged.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -486,7 +486,10 @@
     break;
   }
   if (moved) {
-    return refusal(reason::no_target, verdict::not_run, shed_retry_after);
+    const bool not_run = m_options.protocol.is_not_run_answer(result);
+    return refusal(reason::no_target,
+                   not_run ? verdict::not_run : verdict::may_have_run,
+                   shed_retry_after);
   }
   if (is_overload_answer(result)) {
     if (m_options.protocol.is_not_run_answer(result)) {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -217,7 +217,7 @@
                                      std::uint64_t span_id,
                                      duration time_left) const;
   void update_limits(const run& r, const target_result& result);
-  /// `moved`: another target has the address now and did not run the request.
+  /// `moved`: another target has the address now.
   outcome make_outcome(const run& r, target_result result, bool moved) const;
   /// Whether a run failed and a nested call was refused because of overload
   /// while it was in progress. Nested calls are not matched with runs, so the
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -270,6 +270,20 @@
         yield "logged", self.skipped_answers() - skipped_before
         yield "served", self.wait(lambda: self.send("/safe/a")[0] == 200)
 
+    def promising_statuses(self):
+        """An endpoint that ran a request answers with a status by which the
+        platform promises callers that it has not run."""
+        for given in (408, 421, 429, 503):
+            for n in self.nodes:
+                n.endpoint.status = given
+            before = len(self.requests_seen())
+            status, headers, _ = self.send("/once/a")
+            for n in self.nodes:
+                n.endpoint.status = 200
+            yield given, (status, "X-Kingcupslip-Server-Signature" in headers)
+            yield "runs", len(self.requests_seen()) - before
+            yield "served", self.wait(lambda: self.send("/safe/a")[0] == 200)
+
     def send_many(self, count, interval):
         """Sends idempotent requests at even intervals; returns statuses."""
         got = []
@@ -548,7 +562,7 @@
     def run(self):
         failures = 0
         for session in (self.requests, self.faulty_endpoints,
-                        self.repeated_refusals,
+                        self.repeated_refusals, self.promising_statuses,
                         self.target_notices, self.endless_answers,
                         self.check_ins,
                         self.reload, self.changes, self.outage,
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -216,6 +216,7 @@
         self.sequence = 0
         self.requests = []
         self.delay = 0.0
+        self.status = 200  # of the answers to requests that ran
         self.answers_to_truncate = 0  # answers that end early
         self.answers_to_repeat = 0  # answers that another one follows
         self.refuses = False  # answers that the request was not run
@@ -243,7 +244,7 @@
         request_id = fields.get("x-kingcupslip-request-id", "")
         echo = [("X-Kingcupslip-Request-Id", request_id)]
         if fields.get("x-kingcupslip-expected-instance") != self.instance:
-            call.reply(421, b"", echo)
+            call.reply(421, b"", [*echo, NOT_EXECUTED])
             return
         if self.refuses:
             self.refusals += 1
@@ -273,7 +274,7 @@
             call.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nab")
             call.close_connection = True
             return
-        call.reply(200, b"ran " + body, echo)
+        call.reply(self.status, b"ran " + body, echo)
         if self.answers_to_repeat > 0:
             self.answers_to_repeat -= 1
             call.reply(200, b"late", [("X-Kingcupslip-Request-Id", "other")])
