Event log: a field that is not UTF-8 does not end the process

Callers saw: a request was passed on and run, and its connection closed without an answer; so did all other connections of that node, whose process ended. One request with X-Kingcupslip-Request-Id of the bytes ff fe was enough, as was a check-in with such a path or id.

Cause: the JSON line of an event was made with dump(), which throws for bytes that are no UTF-8. Ids and paths come from outside, and HTTP allows any byte from 0x80 on in both. The exception left the loop. The line of a request is written after its target has answered and before the caller gets that answer.

Now such bytes are replaced by U+FFFD, which never throws and leaves the other fields readable. Answers of the administration are encoded the same way.

--- a/src/kingcupslip/daemon/admin_service.cpp
+++ b/src/kingcupslip/daemon/admin_service.cpp
@@ -25,7 +25,8 @@
 constexpr std::string_view api_prefix = "/v1/";
 
 admin_response json_response(std::uint16_t status, const json& body) {
-  return {status, body.dump()};
+  // Names in paths may be no UTF-8.
+  return {status, body.dump(-1, ' ', false, json::error_handler_t::replace)};
 }
 
 admin_response error_response(std::uint16_t status, const std::string& what) {
--- a/src/kingcupslip/daemon/event_log.cpp
+++ b/src/kingcupslip/daemon/event_log.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+using json = nlohmann::ordered_json;
+
 constexpr std::size_t max_queued_lines = 4096;
 
 spdlog::level::level_enum to_spdlog(event_level level) {
@@ -26,14 +28,16 @@
 
 std::string format_as_json(const event_info& info, const event_fields& fields,
                            const std::string& node) {
-  nlohmann::ordered_json out;
+  json out;
   out["event"] = static_cast<int>(info.id);
   out["name"] = info.name;
   out["node"] = node;
   for (const std::pair<std::string, std::string>& it : fields) {
     out[it.first] = it.second;
   }
-  return out.dump().substr(1);
+  // Ids and paths come from outside and may be no UTF-8, for which `dump`
+  // throws by default.
+  return out.dump(-1, ' ', false, json::error_handler_t::replace).substr(1);
 }
 
 std::string format_as_text(const event_info& info, const event_fields& fields,
@@ -55,17 +59,17 @@
   const std::shared_ptr<spdlog::logger> logger =
       std::make_shared<spdlog::async_logger>(
           "events", sink, pool, spdlog::async_overflow_policy::overrun_oldest);
-  const bool json = format == log_format::json;
-  logger->set_pattern(json
+  const bool as_json = format == log_format::json;
+  logger->set_pattern(as_json
                           ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v)"
                           : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
                       spdlog::pattern_time_type::utc);
-  const auto write = [logger, pool, json, node](event_id id,
-                                                const event_fields& fields) {
+  const auto write = [logger, pool, as_json, node](event_id id,
+                                                   const event_fields& fields) {
     const event_info& info = info_of(id);
     logger->log(to_spdlog(info.level),
-                json ? format_as_json(info, fields, node)
-                     : format_as_text(info, fields, node));
+                as_json ? format_as_json(info, fields, node)
+                        : format_as_text(info, fields, node));
   };
   const std::shared_ptr<log_rate_limiter> budget =
       std::make_shared<log_rate_limiter>();
