Rows of another writer: a field of another type does not end the nodes

Callers saw: all nodes ended at once, with all connections, when one row of the store had a field of another type, or was no object; started again, they ended again as long as the row was there.

Cause: json::value(name, default) throws if the field is there with another type, or if the value is no object; the default is for absent fields only. It was used on rows of the store (desired state, evacuations, the nodes' own rows, shares, leases, slots, reports) and on bodies of the administration and of check-ins of the product's own interface.

Now fields are read with functions that return an empty value instead (json_field).

--- a/src/kingcupslip/core/config_rows.cpp
+++ b/src/kingcupslip/core/config_rows.cpp
@@ -2,6 +2,8 @@
 // JSON.
 #include "kingcupslip/core/config_rows.hpp"
 
+#include "kingcupslip/core/json_field.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace kingcupslip {
@@ -25,12 +27,10 @@
 config_change parse_change(std::string_view json_text) {
   config_change out;
   const json value = json::parse(json_text, nullptr, false);
-  if (value.is_object()) {
-    out.item.key = value.value("key", "");
-    out.item.value = value.value("value", "");
-    out.item.sequence = value.value("sequence", std::uint64_t{0});
-    out.operation = value.value("operation", "");
-  }
+  out.item.key = text_field(value, "key");
+  out.item.value = text_field(value, "value");
+  out.item.sequence = unsigned_field(value, "sequence");
+  out.operation = text_field(value, "operation");
   return out;
 }
 
@@ -55,7 +55,7 @@
 
 std::uint64_t parse_head(std::string_view json_text) {
   const json value = json::parse(json_text, nullptr, false);
-  return value.is_object() ? value.value("sequence", std::uint64_t{0}) : 0;
+  return unsigned_field(value, "sequence");
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/configuration.cpp
+++ b/src/kingcupslip/core/configuration.cpp
@@ -3,6 +3,7 @@
 
 #include "kingcupslip/core/contract_codec.hpp"
 #include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/core/json_field.hpp"
 #include "kingcupslip/core/text.hpp"
 
 #include <nlohmann/json.hpp>
@@ -133,7 +134,7 @@
     apply_key(item);
   } else {
     const json value = json::parse(item.value, nullptr, false);
-    const bool out = value.is_object() && value.value("out", false);
+    const bool out = bool_field(value, "out");
     if (starts_with(key, out_data_centre_prefix)) {
       set_mark(m_data_centres_out, key.substr(out_data_centre_prefix.size()),
                out);
@@ -150,9 +151,9 @@
   }
   api_key k;
   k.id = item.key.substr(key_prefix.size());
-  k.team = value.value("team", "");
-  k.secret_hash = value.value("secret_hash", "");
-  k.withdrawn = value.value("withdrawn", false);
+  k.team = text_field(value, "team");
+  k.secret_hash = text_field(value, "secret_hash");
+  k.withdrawn = bool_field(value, "withdrawn");
   if (k.withdrawn) {
     m_newly_withdrawn.push_back(k.id);
   }
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -1,6 +1,8 @@
 // Joins through the table, runs gossip rounds and announces departures.
 #include "kingcupslip/core/gossip_agent.hpp"
 
+#include "kingcupslip/core/json_field.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -74,17 +76,16 @@
         m_joined = m_row_written;
         for (const table_row& it : rows) {
           const json value = json::parse(it.value, nullptr, false);
-          if (!value.is_object()) {
-            continue;
-          }
           wire::memberT m;
-          m.node = value.value("node", "");
-          m.data_centre = value.value("data_centre", "");
-          m.address = value.value("address", "");
-          m.admin_url = value.value("admin_url", "");
-          m.service = value.value("service", "");
-          m.incarnation = value.value("incarnation", std::uint64_t{0});
-          m_dependencies.members.merge(m, m_clock.now);
+          m.node = text_field(value, "node");
+          m.data_centre = text_field(value, "data_centre");
+          m.address = text_field(value, "address");
+          m.admin_url = text_field(value, "admin_url");
+          m.service = text_field(value, "service");
+          m.incarnation = unsigned_field(value, "incarnation");
+          if (!m.node.empty()) {
+            m_dependencies.members.merge(m, m_clock.now);
+          }
         }
         for (const std::string& to :
              m_dependencies.members.random_peers("", 3)) {
--- a/src/kingcupslip/core/lease.cpp
+++ b/src/kingcupslip/core/lease.cpp
@@ -1,6 +1,8 @@
 // Renews lease rows, keeps promises of witnesses and fences ended leases.
 #include "kingcupslip/core/lease.hpp"
 
+#include "kingcupslip/core/json_field.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -28,11 +30,9 @@
 lease_record parse_lease(std::string_view json_text) {
   lease_record out;
   const json value = json::parse(json_text, nullptr, false);
-  if (value.is_object()) {
-    out.witness = value.value("heir", "");
-    out.fenced = value.value("fenced", false);
-    out.write_count = value.value("beat", std::uint64_t{0});
-  }
+  out.witness = text_field(value, "heir");
+  out.fenced = bool_field(value, "fenced");
+  out.write_count = unsigned_field(value, "beat");
   return out;
 }
 
--- a/src/kingcupslip/core/request_counters.cpp
+++ b/src/kingcupslip/core/request_counters.cpp
@@ -1,6 +1,8 @@
 // Counters of the request report, and their JSON form.
 #include "kingcupslip/core/request_counters.hpp"
 
+#include "kingcupslip/core/json_field.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace kingcupslip {
@@ -20,11 +22,15 @@
   return out;
 }
 
-reason_counts from_object(const json& object) {
+reason_counts from_object(const json& row, const char* field) {
   reason_counts out{};
+  const json::const_iterator object = row.find(field);
+  if (object == row.end()) {
+    return out;
+  }
   for (std::size_t i = 0; i < out.size(); ++i) {
     const std::string name(info_of(static_cast<reason>(i)).name);
-    out[i] = object.value(name, std::uint64_t{0});
+    out[i] = unsigned_field(*object, name.c_str());
   }
   return out;
 }
@@ -94,14 +100,14 @@
       return false;
     }
     route_counters t;
-    t.asked = it.value("asked", std::uint64_t{0});
-    t.ran = it.value("ran", std::uint64_t{0});
-    t.may_have_run = it.value("may_have_run", std::uint64_t{0});
-    t.replayed = it.value("replayed", std::uint64_t{0});
-    t.refused = from_object(it.value("refused", json::object()));
-    t.uncertain = from_object(it.value("uncertain", json::object()));
-    t.retried = from_object(it.value("retried", json::object()));
-    add({it.value("team", ""), it.value("route", "")}, t);
+    t.asked = unsigned_field(it, "asked");
+    t.ran = unsigned_field(it, "ran");
+    t.may_have_run = unsigned_field(it, "may_have_run");
+    t.replayed = unsigned_field(it, "replayed");
+    t.refused = from_object(it, "refused");
+    t.uncertain = from_object(it, "uncertain");
+    t.retried = from_object(it, "retried");
+    add({text_field(it, "team"), text_field(it, "route")}, t);
   }
   return true;
 }
--- a/src/kingcupslip/core/share_row.cpp
+++ b/src/kingcupslip/core/share_row.cpp
@@ -1,6 +1,8 @@
 // Max-min fair division, and the JSON form of a row.
 #include "kingcupslip/core/share_row.hpp"
 
+#include "kingcupslip/core/json_field.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -86,10 +88,10 @@
   }
   for (const json& it : rows) {
     share_entry e;
-    e.lease = it.value("lease", "");
-    e.held = it.value("held", 0U);
-    e.wanted = it.value("wanted", 0U);
-    e.floor_only = it.value("floor_only", false);
+    e.lease = text_field(it, "lease");
+    e.held = static_cast<std::uint32_t>(unsigned_field(it, "held"));
+    e.wanted = static_cast<std::uint32_t>(unsigned_field(it, "wanted"));
+    e.floor_only = bool_field(it, "floor_only");
     out.entries.push_back(e);
   }
   return out;
--- a/src/kingcupslip/core/slot_owner.cpp
+++ b/src/kingcupslip/core/slot_owner.cpp
@@ -2,6 +2,7 @@
 #include "kingcupslip/core/slot_owner.hpp"
 
 #include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/core/json_field.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -42,12 +43,10 @@
 slot_owner::slot_record slot_owner::parse(std::string_view json_text) {
   slot_record out;
   const json value = json::parse(json_text, nullptr, false);
-  if (value.is_object()) {
-    out.lease = value.value("lease", "");
-    out.epoch = value.value("epoch", std::uint64_t{0});
-    out.complete_since =
-        wall_time(value.value("complete_since_ms", std::int64_t{0}));
-  }
+  out.lease = text_field(value, "lease");
+  out.epoch = unsigned_field(value, "epoch");
+  out.complete_since = wall_time(
+      static_cast<std::int64_t>(unsigned_field(value, "complete_since_ms")));
   return out;
 }
 
--- a/src/kingcupslip/daemon/admin_service.cpp
+++ b/src/kingcupslip/daemon/admin_service.cpp
@@ -1,5 +1,6 @@
 // The resources of the administration API.
 #include "kingcupslip/daemon/admin_service.hpp"
+#include "kingcupslip/core/json_field.hpp"
 
 #include "kingcupslip/core/contract_codec.hpp"
 #include "kingcupslip/core/digest.hpp"
@@ -172,8 +173,7 @@
 void admin_service::issue_key(const admin_request& r,
                               const admin_handler& handler) {
   const json body = json::parse(r.body, nullptr, false);
-  const std::string team =
-      body.is_object() ? body.value("team", std::string()) : std::string();
+  const std::string team = text_field(body, "team");
   if (m_node.config().find_contract(team) == nullptr) {
     handler(error_response(404, "no contract for that team"));
     return;
@@ -214,8 +214,9 @@
     json list = json::array();
     const std::string prefix = "out/" + kind + "/";
     for (const config_item& it : m_node.config().items_after(0)) {
-      const bool marked = starts_with(it.key, prefix) &&
-                          json::parse(it.value).value("out", false);
+      const bool marked =
+          starts_with(it.key, prefix) &&
+          bool_field(json::parse(it.value, nullptr, false), "out");
       if (marked) {
         list.push_back(it.key.substr(prefix.size()));
       }
--- a/src/kingcupslip/daemon/node_daemon.cpp
+++ b/src/kingcupslip/daemon/node_daemon.cpp
@@ -1,5 +1,6 @@
 // Assembly of a node and its event loop.
 #include "kingcupslip/daemon/node_daemon.hpp"
+#include "kingcupslip/core/json_field.hpp"
 
 #include "kingcupslip/daemon/daemon_common.hpp"
 #include "kingcupslip/daemon/event_log.hpp"
@@ -160,7 +161,7 @@
     return;
   }
   refresh_clock().on_target_announce(body["instance"].get<std::string>(),
-                                     body.value("draining", false));
+                                     bool_field(body, "draining"));
   send(plain_response(204, "text/plain", ""));
 }
 
--- a/src/kingcupslip/net/table_client.cpp
+++ b/src/kingcupslip/net/table_client.cpp
@@ -1,6 +1,8 @@
 // Table reads and transactions as HTTP requests.
 #include "kingcupslip/net/table_client.hpp"
 
+#include "kingcupslip/core/json_field.hpp"
+
 #include <boost/asio/post.hpp>
 #include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
@@ -47,8 +49,8 @@
     return out;
   }
   for (const json& it : list) {
-    out.push_back({it.value("key", ""), it.value("value", ""),
-                   it.value("version", std::uint64_t{0})});
+    out.push_back({text_field(it, "key"), text_field(it, "value"),
+                   unsigned_field(it, "version")});
   }
   return out;
 }
@@ -90,10 +92,7 @@
              handler(table_status::unknown, 0);
            } else if (a->status == rest::status_codes::OK) {
              const json value = json::parse(a->body, nullptr, false);
-             handler(table_status::ok,
-                     value.is_object()
-                         ? value.value("version", std::uint64_t{0})
-                         : 0);
+             handler(table_status::ok, unsigned_field(value, "version"));
            } else if (a->status == rest::status_codes::Conflict) {
              handler(table_status::conflict, 0);
            } else {
--- /dev/null
+++ b/tests/core/foreign_rows_test.cpp
@@ -0,0 +1,113 @@
+// Tests rows of the table whose fields are of another type, missing, or no
+// object at all, as another writer may leave them.
+#include "kingcupslip/core/config_rows.hpp"
+#include "kingcupslip/core/configuration.hpp"
+#include "kingcupslip/core/lease.hpp"
+#include "kingcupslip/core/request_counters.hpp"
+#include "kingcupslip/core/share_row.hpp"
+#include "support/routed_load.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kingcupslip;
+using std::chrono::seconds;
+
+namespace {
+
+/// A value of each type for each field that `text` names.
+std::vector<std::string> with_each_type(const std::string& text) {
+  std::vector<std::string> out;
+  for (const char* value : {"null", "true", "-7", "1.5", "1e300", "\"text\"",
+                            "[1]", "{\"a\":1}", "99999999999999999999999"}) {
+    std::string row = text;
+    for (std::size_t at = row.find('?'); at != std::string::npos;
+         at = row.find('?')) {
+      row.replace(at, 1, value);
+    }
+    out.push_back(row);
+  }
+  out.insert(out.end(), {"7", "[7]", "[null]", "{}", "\"\"", "", "{", "\xff"});
+  return out;
+}
+
+} // namespace
+
+// clang-format off
+TEST_GROUP(foreign_rows){
+};
+// clang-format on
+
+// A field of another type in a row of the table ended the process.
+TEST(foreign_rows, a_member_row_of_another_type_does_not_end_the_node) {
+  routed_fleet f(7);
+  std::uint64_t version = 0;
+  std::size_t n = 0;
+  for (const std::string& row :
+       with_each_type(R"({"node":?,"data_centre":?,"address":?,"admin_url":?,)"
+                      R"("service":?,"incarnation":?})")) {
+    f.row_store.commit({{"member/x/" + std::to_string(n++), 0, row, false}},
+                       version);
+  }
+  build_routed_fleet(f, 1);
+  LONGS_EQUAL(200, f.request_and_wait("a1", "/safe/x", "k").status);
+}
+
+TEST(foreign_rows, a_share_row_of_another_type_is_read) {
+  for (
+      const std::string& row : with_each_type(
+          R"([{"lease":?,"held":?,"wanted":?,"floor_only":?},{"lease":"a"}])")) {
+    parse_share_row(row);
+  }
+  const share_row whole = parse_share_row(
+      R"([7,{"lease":"a","held":2,"wanted":3,"floor_only":true}])");
+  CHECK(whole.entries.size() >= 1);
+  LONGS_EQUAL(2, whole.entries.back().held);
+  LONGS_EQUAL(3, whole.entries.back().wanted);
+  CHECK(whole.entries.back().floor_only);
+}
+
+TEST(foreign_rows, a_lease_of_another_type_is_read) {
+  for (const std::string& row :
+       with_each_type(R"({"heir":?,"fenced":?,"beat":?})")) {
+    parse_lease(row);
+  }
+  const lease_record whole =
+      parse_lease(R"({"heir":"n","fenced":true,"beat":9})");
+  STRCMP_EQUAL("n", whole.witness.c_str());
+  CHECK(whole.fenced);
+  LONGS_EQUAL(9, whole.write_count);
+}
+
+TEST(foreign_rows, a_change_of_another_type_is_read) {
+  for (const std::string& row :
+       with_each_type(R"({"key":?,"value":?,"sequence":?,"operation":?})")) {
+    parse_change(row);
+    parse_head(row);
+  }
+  LONGS_EQUAL(4, parse_head(R"({"sequence":4})"));
+}
+
+TEST(foreign_rows, an_item_of_another_type_is_applied) {
+  for (const char* key : {"key/k1", "out/target/n1", "out/data-centre/d1",
+                          "contract/t", "other"}) {
+    std::uint64_t sequence = 0;
+    configuration c;
+    for (const std::string& value : with_each_type(
+             R"({"team":?,"secret_hash":?,"withdrawn":?,"out":?})")) {
+      config_item item;
+      item.key = key;
+      item.value = value;
+      item.sequence = ++sequence;
+      c.apply({item}, sequence - 1, sequence);
+    }
+  }
+}
+
+TEST(foreign_rows, a_report_of_another_type_is_read) {
+  for (const std::string& row : with_each_type(
+           R"([{"asked":?,"ran":?,"may_have_run":?,"replayed":?,"refused":?,)"
+           R"("uncertain":?,"retried":?,"team":?,"route":?}])")) {
+    request_counters counters;
+    counters.add_from_json(row);
+  }
+}
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -113,6 +113,19 @@
             return [json.loads(line)["name"] for line in lines
                     if line.startswith("{") and line.endswith("}\n")]
 
+    def event_count(self, name):
+        return self.event_names().count(name)
+
+    def send_bytes(self, port, data):
+        """Sends bytes; returns the answer's status, or 0 without an answer."""
+        with socket.create_connection(("127.0.0.1", port), 10) as connection:
+            try:
+                connection.sendall(data)
+                answer = connection.recv(4096)
+            except OSError:
+                return 0
+            return int(answer.split()[1]) if answer else 0
+
     def send_heartbeat(self, **changed):
         body = json.dumps(self.endpoint.next_heartbeat(**changed)).encode()
         return self.call(self.control, "POST", "/Instances.Heartbeat/"
@@ -436,6 +449,40 @@
         yield "logged", [n.event_names().count("table_restored")
                          for n in self.nodes]
 
+    def foreign_rows(self):
+        """Rows of another writer in the store, and answers cut short."""
+        values = (None, 7, -1.5, 1e300, "text", True, [1], {"a": 1})
+
+        def row(key, /, **more):
+            return {"table": "op", "part": "", "key": key, "value": "e30=",
+                    "record-version": 1, **more}
+
+        self.store.foreign_rows = [*values, {}] + [
+            row(key, **{name: value})
+            for key in ("config", "evacuate/dc-a")
+            for name in ("key", "value", "record-version", "tombstone")
+            for value in values
+            # What is left out may be meant by the operator.
+            if (name, value) not in (("record-version", 7),
+                                     ("tombstone", True))
+            and not (key != "config" and name == "value")]
+        self.store.compact()  # everything is read again
+        self.store.put("op", "config", desired_state("r11", ROUTES[:2]))
+        yield "change", [self.wait(
+            lambda i=i: self.send("/inner/a", None, node=i)[0] == 404)
+            for i in (0, 1)]
+        self.nodes[1].stop()
+        self.nodes[1].start()
+        yield "restarted", self.wait(self.nodes[1].is_ready) and self.wait(
+            lambda: self.send("/safe/a", node=1)[0] == 200)
+        self.store.foreign_rows = []
+        self.store.calls_to_cut = 9
+        self.store.put("op", "config", desired_state("r12", ROUTES))
+        yield "after cut answers", [self.wait(
+            lambda i=i: self.send("/inner/a", None, node=i)[0] == 200)
+            for i in (0, 1)]
+        yield "same processes", [n.process.poll() for n in self.nodes]
+
     def reload(self):
         """SIGHUP with unchanged, changed and invalid settings."""
         node = self.nodes[0]
@@ -566,8 +613,8 @@
                         self.target_notices, self.endless_answers,
                         self.check_ins,
                         self.reload, self.changes, self.outage,
-                        self.restored_store, self.graceful_stop,
-                        self.stop_with_requests,
+                        self.restored_store, self.foreign_rows,
+                        self.graceful_stop, self.stop_with_requests,
                         self.stalled_reader):
             began = time.monotonic()
             text = "".join(f"{k}: {v}\n" for k, v in session())
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -70,6 +70,8 @@
         self.down = False
         self.answers_to_lose = 0  # writes that take effect without an answer
         self.calls_to_throttle = 0  # calls answered 429
+        self.calls_to_cut = 0  # calls whose answer ends early
+        self.foreign_rows = []  # of another writer, in each answer with rows
         self.calls = {}
         store = self
 
@@ -151,6 +153,18 @@
         else:
             status, out = 404, {}
         out["now-s"] = time.monotonic()
+        if "rows" in out and status == 200:
+            out["rows"] = self.foreign_rows + out["rows"]
+        if self.calls_to_cut > 0:
+            self.calls_to_cut -= 1
+            body = json.dumps(out).encode()
+            head = (f"HTTP/1.1 200 OK\r\nStore-Era: {self.era}\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n").encode()
+            # In turn within the head, before the body and within it.
+            cut = (30, len(head), len(head) + len(body) - 1)
+            call.wfile.write((head + body)[:cut[self.calls_to_cut % 3]])
+            call.close_connection = True
+            return
         call.reply(status, json.dumps(out).encode(),
                    [("Content-Type", "application/json"),
                     ("Store-Era", str(self.era))])
@@ -225,6 +239,7 @@
         # "with its id", "without an id", or "alone" (without an id, and
         # no answer follows)
         self.repeats_refusal = None
+        self.cut_answer = None  # the bytes after which each answer ends
         self.stated = []  # header fields about itself in each answer
         self.endless_answer = None  # its start, and what is repeated after it
         endpoint = self
@@ -269,6 +284,10 @@
             call.wfile.write(start)
             while True:  # until the node closes the connection
                 call.wfile.write(repeated * 10000)
+        if self.cut_answer is not None:
+            call.close_connection = True
+            call.wfile.write(self.cut_answer(request_id))
+            return
         if self.answers_to_truncate > 0:
             self.answers_to_truncate -= 1
             call.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nab")
