--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -17,6 +17,8 @@
 constexpr duration settings_check_period = std::chrono::seconds(5);
 /// Such a body fits into a frame between nodes together with its headers.
 constexpr std::size_t max_request_body_bytes = 8UL * 1024 * 1024;
+/// Of requests to the node itself. Parsed JSON takes far more than its text.
+constexpr std::size_t max_control_body_bytes = 64UL * 1024;
 /// A target that misses this many announcements is considered gone.
 constexpr int max_missed_announcements = 4;
 
@@ -43,20 +45,24 @@
   m_peer_network = std::make_unique<peer_network>(
       m_loop, options.self, settings.fleet_secret, settings.peers.ip,
       settings.peers.port, std::move(network_hooks));
-  server_limits limits;
-  limits.max_body_bytes = max_request_body_bytes;
-  const auto listen = [this, limits](const listen_address& at, server_hooks h) {
+  const auto listen = [this](const listen_address& at, server_hooks h,
+                             std::size_t max_body_bytes =
+                                 max_control_body_bytes) {
+    server_limits limits;
+    limits.max_body_bytes = max_body_bytes;
     return std::make_unique<http_server>(m_loop, at.ip, at.port, limits,
                                          std::move(h));
   };
-  m_caller_server = listen(
-      settings.callers, {[this](caller_request r, const response_sender& send) {
-                           on_caller_request(std::move(r), send);
-                         },
-                         [this](std::uint64_t connection) {
-                           refresh_clock().on_caller_disconnected(connection);
-                         },
-                         m_protocol.encode_response, m_log});
+  m_caller_server =
+      listen(settings.callers,
+             {[this](caller_request r, const response_sender& send) {
+                on_caller_request(std::move(r), send);
+              },
+              [this](std::uint64_t connection) {
+                refresh_clock().on_caller_disconnected(connection);
+              },
+              m_protocol.encode_response, m_log},
+             max_request_body_bytes);
   m_readiness_server =
       listen(settings.readiness,
              {[this](const caller_request& r, const response_sender& send) {
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -371,6 +371,49 @@
             n.peak_memory_kb() < 100_000 for n in self.nodes)
         yield "served", self.wait(lambda: self.send("/safe/a")[0] == 200)
 
+    def foreign_bytes(self):
+        """Ids, paths and check-ins that are not UTF-8, deep or huge."""
+        node = self.nodes[0]
+        head = (b"Host: h.example\r\nX-Kingcupslip-Request-Id: q\r\n"
+                b"Connection: close\r\n")
+        yield "request id", self.send(
+            "/safe/a", **{"X-Kingcupslip-Request-Id": "\xff\xfe"})[0]
+        yield "key", self.send("/safe/a", "\xff\xfe")[0]
+        yield "deadline", [self.send(
+            "/safe/a", **{"X-Kingcupslip-Request-Deadline": text})[0]
+            for text in ("9223372036854775807", "9" * 30, "-1", "1e9", "\xff")]
+        yield "path", node.send_bytes(
+            node.callers, b"GET /inner/\xff\xfe HTTP/1.1\r\n" + head + b"\r\n")
+        yield "host", node.send_bytes(
+            node.callers, b"GET /safe/ HTTP/1.1\r\nHost: \xff\xfe\r\n"
+            b"X-Kingcupslip-Request-Id: q\r\nConnection: close\r\n\r\n")
+        yield "method", node.send_bytes(
+            node.callers, b"GE* /inner/a HTTP/1.1\r\n" + head + b"\r\n")
+        check_in = b"POST /Instances.Heartbeat/\xff\xfe HTTP/1.1\r\n" + head
+        yield "check-in", node.send_bytes(
+            node.control, check_in + b"Content-Length: 2\r\n\r\n{}")
+        body = json.dumps(node.endpoint.next_heartbeat()).encode()
+        yield "instance", node.send_bytes(
+            node.control, check_in + b"Content-Length: %d\r\n\r\n%s" %
+            (len(body), body))
+        yield "leaving", node.send_bytes(
+            node.control, b"POST /Instances.Deregister/\xff HTTP/1.1\r\n"
+            + head + b"\r\n")
+        yield "numbers", [node.send_heartbeat(**{name: 1e300}) for name in
+                          ("slots", "cold-remaining-s")]
+        for name, depth in (("deep", 30_000), ("deep and long", 2_000_000)):
+            deep = b'{"a":' + b"[" * depth + b"]" * depth + b"}"
+            status = node.send_bytes(
+                node.control, b"POST /Instances.Heartbeat/i-x HTTP/1.1\r\n"
+                + head + b"Content-Length: %d\r\n\r\n%s" %
+                (len(deep), deep))
+            # A body that is refused unread may cost its answer.
+            yield name, status in (0, 400, 413)
+        yield "peak memory below 100 MB", node.peak_memory_kb() < 100_000
+        yield "same process", node.process.poll()
+        yield "still served", self.wait(lambda: self.send("/safe/a")[0] == 200)
+        yield "readable log", all(map(json.loads, open(node.log.name)))
+
     def check_ins(self):
         """Invalid heartbeats and a heartbeat of another endpoint."""
         n = self.nodes[0]
@@ -611,7 +654,7 @@
         for session in (self.requests, self.faulty_endpoints,
                         self.repeated_refusals, self.promising_statuses,
                         self.target_notices, self.endless_answers,
-                        self.check_ins,
+                        self.check_ins, self.foreign_bytes,
                         self.reload, self.changes, self.outage,
                         self.restored_store, self.foreign_rows,
                         self.graceful_stop, self.stop_with_requests,
