HTTP client: a trailer field of 64 KiB does not end the process

Callers saw: the node's process ended, with all connections, when a target sent a chunked answer whose trailer has a field of 64 KiB or more.

Cause: Beast's fields hold at most 65,533 bytes and throw length_error for more. The limit of a head keeps header fields below that; a trailer was bounded by the buffer only, which held 128 KiB.

Before: endless_response.a_long_trailer_field_ends_its_request: terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>', what(): field value too large

Now the buffer holds 64 KiB less one byte, so that no longer field is ever parsed: the answer ends as lost, as a head of that size does. The buffer of requests holds 32 KiB and was safe.

--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -29,8 +29,9 @@
 constexpr duration default_idle_timeout = std::chrono::seconds(4);
 constexpr duration idle_timeout_margin = std::chrono::seconds(2);
 constexpr std::uint32_t max_header_bytes = 64 * 1024;
-/// For what is read but not parsed yet: a head, or a line of a chunked body.
-constexpr std::size_t max_unparsed_bytes = 2UL * max_header_bytes;
+/// For what is read but not parsed yet: a head, or a line or the trailer of a
+/// chunked body. Beast throws for a field of 64 KiB.
+constexpr std::size_t max_unparsed_bytes = max_header_bytes - 1;
 /// Of all responses that are being read. A target whose responses do not end
 /// must not use up the memory of the node.
 constexpr std::size_t max_buffered_response_bytes = 32UL * 1024 * 1024;
--- a/tests/net/endless_response_test.cpp
+++ b/tests/net/endless_response_test.cpp
@@ -173,6 +173,22 @@
   check_ends({"trailers", chunked_head + "0\r\n", "A: b\r\n"});
 }
 
+// A trailer field of 64 KiB made the parser throw, which ended the process.
+TEST(endless_response, a_long_trailer_field_ends_its_request) {
+  const std::string long_text(100'000, 'a');
+  check_ends(
+      {"long value", chunked_head + "0\r\nA: " + long_text + "\r\n\r\n", "x"});
+  check_ends(
+      {"long name", chunked_head + "0\r\n" + long_text + ": a\r\n\r\n", "x"});
+}
+
+// A head with a field of 64 KiB must not make the parser throw either.
+TEST(endless_response, a_long_header_field_ends_its_request) {
+  const std::string long_text(100'000, 'a');
+  check_ends({"long value", ok_line + "A: " + long_text + "\r\n\r\n", "x"});
+  check_ends({"long name", ok_line + long_text + ": a\r\n\r\n", "x"});
+}
+
 TEST(endless_response, interim_answers_without_end_end_their_request) {
   check_ends({"interim answers", "HTTP/1.1 100 Continue\r\n\r\n",
               "HTTP/1.1 100 Continue\r\n\r\n"});
