HTTP client: an answer reset behind a failed write is not complete

Callers saw: a 200 with a short body, framed as whole, if the target answered a long request without a length before it had read it, and then reset the connection.

Cause: the failed write of the request took the error of the connection (ECONNRESET), which the kernel reports once. The read that followed got the bytes before the reset and then a plain end of stream, which completes an answer without a length.

Before: cut_response.an_answer_without_a_length_is_lost_if_its_request_is_reset: CHECK(exchange_end::lost == r.end) failed

Now an answer that ends with its connection is lost if the request could not be written to its end. An early answer with a length (413) still counts, but its connection is not used again.

The tests cut answers at each of their bytes, by a close and by a reset, on new and kept connections: with a length, in chunks with and without a trailer, without a length, of HTTP/1.0, after an interim answer, to HEAD, 204 and 304, byte by byte, and with bare line feeds. All others passed before.

--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -141,6 +141,7 @@
                           self->finish({exchange_end::lost, 0, {}, {}});
                           return;
                         }
+                        self->m_write_failed = bool(ec);
                         // A peer that rejects a long body may have responded
                         // before it closed the connection.
                         self->read();
@@ -179,6 +180,12 @@
       finish({exchange_end::lost, 0, {}, {}});
       return;
     }
+    if (m_write_failed && m_parser->need_eof()) {
+      // The write took the error of the connection, so that the end of this
+      // answer may be a reset.
+      finish({exchange_end::lost, 0, {}, {}});
+      return;
+    }
     http::response<bounded_body> response = m_parser->release();
     const bool is_interim = http::to_status_class(response.result()) ==
                             http::status_class::informational;
@@ -200,7 +207,8 @@
           {std::string(it.name_string()), std::string(it.value())});
     }
     const bool reusable =
-        response.keep_alive() && m_buffer.size() == 0 && !m_got_stray_response;
+        response.keep_alive() && m_buffer.size() == 0 &&
+        !m_got_stray_response && !m_write_failed;
     out.body = std::move(response.body().bytes);
     if (reusable) {
       m_client.add_idle_connection(
@@ -285,6 +293,7 @@
   bool m_got_stray_response = false;
   bool m_reused = false;
   bool m_written = false;
+  bool m_write_failed = false;
 };
 
 http_client::http_client(io_loop& loop, tcp::endpoint endpoint, event_sink log,
