Tests: an answer with neither a length nor its id is not complete

Callers saw: a 200 with an empty or short body, framed as whole, of a target that ended its head with a blank line before its framing lines and its id, and closed.

Cause: an answer without a length is legal and ends with its connection, so that nothing in its framing tells that the head was cut. Its other fields do: targets repeat the id of the request in each answer.

An answer with the id and without a length counts as before.

Weighed and not done: to pass such answers on without a length. The node has the whole answer before it sends its first byte, so that the caller would learn nothing more, would lose its connection, and could not tell the end of the answer from a node that ended (docs/design/connections.md).

--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -206,9 +206,8 @@
       out.headers.push_back(
           {std::string(it.name_string()), std::string(it.value())});
     }
-    const bool reusable =
-        response.keep_alive() && m_buffer.size() == 0 &&
-        !m_got_stray_response && !m_write_failed;
+    const bool reusable = response.keep_alive() && m_buffer.size() == 0 &&
+                          !m_got_stray_response && !m_write_failed;
     out.body = std::move(response.body().bytes);
     if (reusable) {
       m_client.add_idle_connection(
--- a/tests/net/cut_response_test.cpp
+++ b/tests/net/cut_response_test.cpp
@@ -348,3 +348,21 @@
   CHECK(exchange_end::answered == r.end);
   LONGS_EQUAL(413, r.status);
 }
+
+// An endpoint that ended its head before its framing and its id, and closed,
+// answered with a short body that was passed on as a whole one.
+TEST(cut_response, an_answer_with_neither_a_length_nor_its_id_is_lost) {
+  io_loop loop;
+  cutting_server server(loop);
+  const header id{"Request-Id", "own"};
+  for (const char* fields : {"", "X-Signature: ab.12\r\n"}) {
+    server.next.answer = ok_line + fields + "\r\nshort";
+    http_client client(loop, server.endpoint());
+    const target_result r = exchange_with(loop, client, "GET", {}, id);
+    CHECK(exchange_end::lost == r.end);
+  }
+  server.next.answer = ok_line + "Request-Id: own\r\n\r\nwhole";
+  http_client client(loop, server.endpoint());
+  const target_result r = exchange_with(loop, client, "GET", {}, id);
+  CHECK(exchange_end::answered == r.end);
+}
