Events: answer_incomplete says how far a lost answer got

The log did not tell an answer that was cut from one that never came: both were run_failed. Now an exchange that ends after at least one byte of its answer also logs the request, the bytes read, whether the head was complete, the bytes of the body and the error (none if the node ended the exchange).

The session runs endpoints that end an answer at 17 places within its head and body.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -529,6 +529,16 @@
                {"how", end_kind},
                {"ran_us", std::to_string((m_clock.now - r.started_at).count())},
                {"in_flight", std::to_string(m_runs.size())}});
+  if (result.partial.bytes > 0) {
+    const partial_answer& p = result.partial;
+    m_hooks.log(event_id::answer_incomplete,
+                {{"request", r.request_id},
+                 {"instance", m_instance},
+                 {"bytes", std::to_string(p.bytes)},
+                 {"head", p.head_complete ? "complete" : "cut"},
+                 {"body_bytes", std::to_string(p.body_bytes)},
+                 {"error", p.error}});
+  }
 }
 
 crash_detector::digests_by_run target_stage::running_digests() const {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -47,6 +47,14 @@
   lost           ///< sent; then the connection broke or timed out
 };
 
+/// What had arrived of an answer when its exchange ended without it.
+struct partial_answer {
+  std::size_t bytes = 0; ///< as read; 0: nothing arrived
+  bool head_complete = false;
+  std::size_t body_bytes = 0;
+  std::string error; ///< empty if the exchange was ended here
+};
+
 /// The result of an exchange with a target; the answer is set only if `end`
 /// is `answered`.
 struct target_result {
@@ -54,6 +62,8 @@
   std::uint16_t status = 0;
   std::vector<header> headers;
   body_bytes body;
+  /// Set only if `end` is `lost`.
+  partial_answer partial{};
 };
 
 /// A periodic announcement in which a target reports its state.
--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -149,6 +149,7 @@
   }
 
   void read() {
+    m_answer_bytes = 0;
     m_parser.emplace();
     m_parser->header_limit(max_header_bytes);
     m_parser->body_limit(m_client.m_max_response_bytes);
@@ -159,9 +160,12 @@
 
   void read_some() {
     const std::shared_ptr<http_exchange> self = shared_from_this();
-    http::async_read_some(
-        *m_socket, m_buffer, *m_parser,
-        [self](const error_code& ec, std::size_t) { self->on_read_some(ec); });
+    http::async_read_some(*m_socket, m_buffer, *m_parser,
+                          [self](const error_code& ec, std::size_t n) {
+                            self->m_answer_bytes += n;
+                            self->m_read_error = ec;
+                            self->on_read_some(ec);
+                          });
   }
 
   void on_read_some(const error_code& ec) {
@@ -271,11 +275,23 @@
     }
     m_client.m_buffered_bytes -= std::exchange(m_buffered_bytes, 0);
     m_client.m_exchanges.erase(m_id);
+    if (result.end == exchange_end::lost && m_parser) {
+      result.partial = partial();
+    }
     const http_client::result_handler on_complete =
         std::exchange(m_on_complete, nullptr);
     on_complete(std::move(result));
   }
 
+  partial_answer partial() {
+    partial_answer out;
+    out.bytes = m_answer_bytes + m_buffer.size();
+    out.head_complete = m_parser->is_header_done();
+    out.body_bytes = m_parser->get().body().bytes.size();
+    out.error = m_read_error ? m_read_error.message() : "";
+    return out;
+  }
+
   http_client& m_client;
   std::uint64_t m_id;
   duration m_time_left;
@@ -287,6 +303,8 @@
   std::optional<http::response_parser<bounded_body>> m_parser;
   std::size_t m_buffered_bytes = 0;
   std::size_t m_skipped_responses = 0;
+  std::size_t m_answer_bytes = 0; ///< that the parser has taken
+  error_code m_read_error;
   header m_correlation_header;
   instant m_started_at{0};
   bool m_got_stray_response = false;
--- a/tests/net/cut_response_test.cpp
+++ b/tests/net/cut_response_test.cpp
@@ -366,3 +366,26 @@
   const target_result r = exchange_with(loop, client, "GET", {}, id);
   CHECK(exchange_end::answered == r.end);
 }
+
+// The log did not tell an answer that was cut from one that never came.
+TEST(cut_response, a_lost_exchange_says_how_far_its_answer_got) {
+  io_loop loop;
+  cutting_server server(loop);
+  const answer_case c = sized_answer();
+  const std::size_t head = c.head.size();
+  const target_result none = result_of_cut(server, loop, c, 0, {});
+  LONGS_EQUAL(0, none.partial.bytes);
+  const target_result in_head = result_of_cut(server, loop, c, head - 1, {});
+  LONGS_EQUAL(head - 1, in_head.partial.bytes);
+  CHECK_FALSE(in_head.partial.head_complete);
+  const target_result in_body = result_of_cut(server, loop, c, head + 5, {});
+  LONGS_EQUAL(head + 5, in_body.partial.bytes);
+  CHECK(in_body.partial.head_complete);
+  LONGS_EQUAL(5, in_body.partial.body_bytes);
+  CHECK_FALSE(in_body.partial.error.empty());
+  script reset_early;
+  reset_early.end = stream_end::reset;
+  const target_result reset =
+      result_of_cut(server, loop, c, head + 5, reset_early);
+  LONGS_EQUAL(5, reset.partial.body_bytes);
+}
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -371,6 +371,35 @@
             n.peak_memory_kb() < 100_000 for n in self.nodes)
         yield "served", self.wait(lambda: self.send("/safe/a")[0] == 200)
 
+    def cut_answers(self):
+        """Endpoints that end within the head or the body of an answer."""
+        chunked = "4\r\nfour\r\n0\r\n\r\n"
+        for name, framing, body, places in (
+                ("length", "Content-Length: 12\r\n", "twelve bytes",
+                 ("", "HTTP/1.", "200 OK", "200 OK\r\n", "X-Kingcupslip-Re",
+                  "signed", "signed\r\n", "Content-Length: 1",
+                  "Content-Length: 12\r\n", "12\r\n\r\n", "twelve byte")),
+                ("chunks", "Transfer-Encoding: chunked\r\n", chunked,
+                 ("chunked", "chunked\r\n", "chunked\r\n\r\n", "\nfour",
+                  "four\r\n0\r\n")),
+                ("no length", "", "short", ("signed\r\n",))):
+            for place in places:
+                def cut(request_id, framing=framing, body=body, place=place):
+                    whole = ("HTTP/1.1 200 OK\r\nX-Kingcupslip-Request-Id: "
+                             f"{request_id}\r\nX-Kingcupslip-Server-Signature"
+                             f": signed\r\n{framing}\r\n{body}")
+                    return whole[:whole.index(place) + len(place)].encode()
+                for n in self.nodes:
+                    n.endpoint.cut_answer = cut
+                yield f"{name} {place!r}", [
+                    self.send(path, node=i, body=b"%d" % self.next_id)[0]
+                    for i in (0, 1) for path in ("/once/a", "/safe/a")]
+        for n in self.nodes:
+            n.endpoint.cut_answer = None
+        yield "logged", [n.event_count("answer_incomplete") > 0
+                         for n in self.nodes]
+        yield "served", self.wait(lambda: self.send("/safe/a")[0] == 200)
+
     def foreign_bytes(self):
         """Ids, paths and check-ins that are not UTF-8, deep or huge."""
         node = self.nodes[0]
@@ -654,7 +683,7 @@
         for session in (self.requests, self.faulty_endpoints,
                         self.repeated_refusals, self.promising_statuses,
                         self.target_notices, self.endless_answers,
-                        self.check_ins, self.foreign_bytes,
+                        self.cut_answers, self.check_ins, self.foreign_bytes,
                         self.reload, self.changes, self.outage,
                         self.restored_store, self.foreign_rows,
                         self.graceful_stop, self.stop_with_requests,
