Peer network: a process out of descriptors does not spin

Callers saw: nothing on open connections, but the node used a whole processor while it had no descriptor left.

Cause: after an error, accept was called again at once, and failed again.

--- a/src/kingcupslip/net/peer_network.cpp
+++ b/src/kingcupslip/net/peer_network.cpp
@@ -17,6 +17,8 @@
 using error_code = boost::system::error_code;
 
 constexpr std::size_t max_sessions = 4096;
+/// Between an attempt to accept a connection that failed and the next one.
+constexpr std::chrono::milliseconds accept_pause{50};
 
 std::optional<tcp::endpoint> parse_endpoint(const std::string& text) {
   const std::size_t colon = text.rfind(':');
@@ -52,13 +54,14 @@
     : m_loop(loop), m_self(std::move(self)),
       m_fleet_secret(std::move(fleet_secret)),
       m_acceptor(loop, tcp::endpoint(asio::ip::make_address(address), port)),
-      m_hooks(std::move(hooks)) {
+      m_accept_timer(loop), m_hooks(std::move(hooks)) {
   accept();
 }
 
 peer_network::~peer_network() {
   error_code ignored;
   m_acceptor.close(ignored);
+  m_accept_timer.cancel(ignored);
   const std::map<peer_session*, std::shared_ptr<peer_session>> sessions =
       std::move(m_sessions);
   for (const std::pair<peer_session* const, std::shared_ptr<peer_session>>& it :
@@ -100,7 +103,11 @@
     if (ec == asio::error::operation_aborted) {
       return;
     }
-    if (!ec && m_sessions.size() < max_sessions) {
+    if (ec) {
+      accept_later();
+      return;
+    }
+    if (m_sessions.size() < max_sessions) {
       const std::shared_ptr<peer_session> s =
           std::make_shared<peer_session>(*this, std::move(socket), "");
       m_sessions[s.get()] = s;
@@ -110,6 +117,15 @@
   });
 }
 
+void peer_network::accept_later() {
+  m_accept_timer.expires_after(accept_pause);
+  m_accept_timer.async_wait([this](const error_code& ec) {
+    if (!ec && m_acceptor.is_open()) {
+      accept();
+    }
+  });
+}
+
 std::shared_ptr<peer_session> peer_network::dial(const std::string& node) {
   const std::optional<tcp::endpoint> remote =
       parse_endpoint(m_hooks.address_of(node));
--- a/src/kingcupslip/net/peer_network.hpp
+++ b/src/kingcupslip/net/peer_network.hpp
@@ -71,6 +71,9 @@
 private:
   friend class peer_session;
   void accept();
+  /// Accepts again after a pause, without which a process that has no
+  /// descriptor left would spin.
+  void accept_later();
   std::shared_ptr<peer_session> dial(const std::string& node);
   void on_established(const std::shared_ptr<peer_session>& s);
   void on_closed(peer_session& s);
@@ -79,6 +82,7 @@
   node_identity m_self;
   std::string m_fleet_secret;
   boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_accept_timer;
   peer_hooks m_hooks;
   peer_counters m_counters;
   std::map<std::string, std::shared_ptr<peer_session>> m_session_by_node;
