Events: node_failed says why a process ended by itself

An exception that left the loop was written to standard error only, without a time, so that a log did not tell it from a kill. Now it is an event, and the process ends as before, with the same status and message.

Weighed and not done: to go on after an exception. What the handler was to do is half done: a timer that is not set again stops the node's clock while it still takes requests, and counters of running requests no longer match. A process that has ended is replaced; one that is stuck is not.

--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -12,6 +12,7 @@
       {event_id::settings_unreadable, "settings_unreadable",
        event_level::error},
       {event_id::node_stopped_busy, "node_stopped_busy", event_level::warning},
+      {event_id::node_failed, "node_failed", event_level::error},
       {event_id::target_announced, "target_announced", event_level::info},
       {event_id::target_silent, "target_silent", event_level::warning},
       {event_id::target_crashed, "target_crashed", event_level::warning},
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -21,6 +21,7 @@
   settings_reloaded = 103,
   settings_unreadable = 104,
   node_stopped_busy = 105,
+  node_failed = 106,
   target_announced = 200,
   target_silent = 201,
   target_crashed = 202,
--- a/src/kingcupslip/daemon/admin_service.cpp
+++ b/src/kingcupslip/daemon/admin_service.cpp
@@ -1,9 +1,9 @@
 // The resources of the administration API.
 #include "kingcupslip/daemon/admin_service.hpp"
-#include "kingcupslip/core/json_field.hpp"
 
 #include "kingcupslip/core/contract_codec.hpp"
 #include "kingcupslip/core/digest.hpp"
+#include "kingcupslip/core/json_field.hpp"
 #include "kingcupslip/core/text.hpp"
 
 #include <nlohmann/json.hpp>
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -98,7 +98,14 @@
                                  {"service", m_settings.service}});
   wait_for_signal();
   tick();
-  m_loop.run();
+  try {
+    m_loop.run();
+  } catch (const std::exception& e) {
+    // What the handler was to do is half done and timers may not be set again,
+    // so that the process ends rather than goes on.
+    m_log(event_id::node_failed, {{"error", e.what()}});
+    throw;
+  }
   m_log(event_id::node_stopped, {});
 }
 
