--- a/tests/net/peer_network_test.cpp
+++ b/tests/net/peer_network_test.cpp
@@ -1,6 +1,7 @@
 // Tests connections between nodes that go silent while new ones work.
 #include "kingcupslip/net/peer_network.hpp"
 
+#include "kingcupslip/net/frame.hpp"
 #include "support/silent_relay.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -84,3 +85,57 @@
   LONGS_EQUAL(2, calls.size());
   LONGS_EQUAL(3, calls.back());
 }
+
+namespace {
+
+/// Sends one whole call, then one of which only `n` bytes arrive. Returns the
+/// calls that the other node got.
+std::size_t calls_after_cut(std::size_t n) {
+  io_loop loop;
+  std::size_t calls = 0;
+  bool lost = false;
+  peer_hooks callee_hooks;
+  callee_hooks.on_message = [&calls](const std::string&,
+                                     const wire::payloadUnion& body) {
+    calls += body.type == wire::payload::call ? 1 : 0;
+  };
+  callee_hooks.on_unsent = [](std::uint64_t) {};
+  callee_hooks.on_connection_lost = [](const std::string&) {};
+  callee_hooks.address_of = [](const std::string&) { return ""; };
+  callee_hooks.log = [](event_id, const event_fields&) {};
+  peer_hooks hooks = callee_hooks;
+  callee_hooks.on_connection_lost = [&lost](const std::string&) {
+    lost = true;
+  };
+  peer_network callee(loop, identity("callee"), "the-secret-of-both",
+                      "127.0.0.1", 0, callee_hooks);
+  silent_relay relay(loop, callee.port());
+  hooks.address_of = [&relay](const std::string&) {
+    return "127.0.0.1:" + std::to_string(relay.port());
+  };
+  peer_network caller(loop, identity("caller"), "the-secret-of-both",
+                      "127.0.0.1", 0, hooks);
+  caller.send("callee", call_with(1));
+  const instant give_up = read_clocks().now + milliseconds(3000);
+  while (calls == 0 && read_clocks().now < give_up) {
+    loop.run_one_for(milliseconds(10));
+  }
+  relay.close_open_connections_after(n);
+  caller.send("callee", call_with(2));
+  while (!lost && read_clocks().now < give_up) {
+    loop.run_one_for(milliseconds(10));
+  }
+  CHECK(lost);
+  return calls;
+}
+
+} // namespace
+
+// A frame that its sender had not sent to the end was taken for a call.
+TEST(peer_network, a_cut_frame_is_no_call) {
+  const std::size_t frame_bytes = encode_frame(call_with(2)).size();
+  for (std::size_t n = 0; n < frame_bytes; ++n) {
+    LONGS_EQUAL(1, calls_after_cut(n));
+  }
+  LONGS_EQUAL(2, calls_after_cut(frame_bytes));
+}
--- a/tests/support/silent_relay.hpp
+++ b/tests/support/silent_relay.hpp
@@ -4,6 +4,7 @@
 
 #include "kingcupslip/net/loop.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -34,6 +35,16 @@
     }
   }
 
+  /// Closes the connections that are open now after `n` further bytes of their
+  /// clients.
+  void close_open_connections_after(std::size_t n) {
+    for (const std::shared_ptr<relayed_connection>& it : m_connections) {
+      it->closes = true;
+      it->client_bytes_left = n;
+      close_if_due(*it);
+    }
+  }
+
 private:
   using tcp = boost::asio::ip::tcp;
   using error_code = boost::system::error_code;
@@ -43,8 +54,18 @@
     tcp::socket client_side;
     tcp::socket server_side;
     bool silent = false;
+    bool closes = false;
+    std::size_t client_bytes_left = 0;
   };
 
+  static void close_if_due(relayed_connection& c) {
+    if (c.closes && c.client_bytes_left == 0) {
+      error_code ignored;
+      c.server_side.close(ignored);
+      c.client_side.close(ignored);
+    }
+  }
+
   void accept() {
     const std::shared_ptr<relayed_connection> p =
         std::make_shared<relayed_connection>(m_loop);
@@ -71,8 +92,15 @@
             return;
           }
           error_code ignored;
+          const bool counted = p->closes && &from == &p->client_side;
+          const std::size_t passed =
+              counted ? std::min(n, p->client_bytes_left) : n;
           if (!p->silent) {
-            boost::asio::write(to, boost::asio::buffer(*buf, n), ignored);
+            boost::asio::write(to, boost::asio::buffer(*buf, passed), ignored);
+          }
+          if (counted) {
+            p->client_bytes_left -= passed;
+            close_if_due(*p);
           }
           forward(p, from, to);
         });
