HTTP client: an answer without a status of HTTP is lost

Callers saw: "HTTP/1.1 000 <unknown-status>", framed as whole, if the bytes of a faulty target had such a status; the same for 099, 600 and 999.

Cause: Beast takes any three digits for a status, and writes them again.

Before: cut_response.an_answer_whose_status_is_none_is_lost: Message: 000 CHECK(exchange_end::lost == r.end) failed

Now a status outside 100 to 599 is no answer: callers get 502.

--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -28,6 +28,9 @@
 /// and a crash closes it visibly.
 constexpr duration default_idle_timeout = std::chrono::seconds(4);
 constexpr duration idle_timeout_margin = std::chrono::seconds(2);
+/// Of a status of HTTP. Beast takes any three digits.
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
 constexpr std::uint32_t max_header_bytes = 64 * 1024;
 /// For what is read but not parsed yet: a head, or a line or the trailer of a
 /// chunked body. Beast throws for a field of 64 KiB.
@@ -191,6 +194,12 @@
       return;
     }
     http::response<bounded_body> response = m_parser->release();
+    const bool is_status = response.result_int() >= min_status &&
+                           response.result_int() <= max_status;
+    if (!is_status) {
+      finish({exchange_end::lost, 0, {}, {}});
+      return;
+    }
     // Beast's own class of a status that it has no name for is `unknown`.
     const bool is_interim = response.result_int() / 100 == 1;
     if (is_interim) {
--- a/tests/net/cut_response_test.cpp
+++ b/tests/net/cut_response_test.cpp
@@ -393,3 +393,20 @@
       result_of_cut(server, loop, c, head + 5, reset_early);
   LONGS_EQUAL(5, reset.partial.body_bytes);
 }
+
+// A status outside the protocol, of bytes that are no answer, was passed on.
+TEST(cut_response, an_answer_whose_status_is_none_is_lost) {
+  io_loop loop;
+  cutting_server server(loop);
+  for (const char* status : {"000", "099", "600", "999"}) {
+    server.next.answer =
+        "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 2\r\n\r\nab";
+    http_client client(loop, server.endpoint());
+    const target_result r = exchange_with(loop, client, "GET");
+    CHECK_TEXT(exchange_end::lost == r.end, status);
+  }
+  server.next.answer = "HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nab";
+  http_client client(loop, server.endpoint());
+  const target_result r = exchange_with(loop, client, "GET");
+  CHECK(exchange_end::answered == r.end);
+}
