--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -105,7 +105,7 @@
         (self.callers, self.ready, control, peers, metrics,
          *endpoint_ports) = range(port, port + PORTS_PER_NODE)
         host = soak.host
-        self.endpoint = Endpoint(self.name, host, endpoint_ports,
+        self.endpoint = Endpoint(index, self.name, host, endpoint_ports,
                                  (host, control), soak.runs, soak.report)
         self.settings = {
             "node": self.name, "data_centre": "dc-a", "service": "svc",
@@ -383,13 +383,13 @@
             await asyncio.gather(*map(self.apply, make_schedule(
                 self.seed, seconds, len(self.nodes))))
             await asyncio.sleep(CALM_SECONDS)
-            await asyncio.gather(*map(self.check_serves, self.nodes))
             self.ending = True
             while any(r.ended_at is None for n in self.nodes
                       for r in n.requests):
                 await asyncio.sleep(0.1)
             for client in clients:
                 client.cancel()
+            await asyncio.gather(*map(self.check_serves, self.nodes))
             await asyncio.gather(*(n.stop() for n in self.nodes))
             for task in self.tasks:
                 if task.done() and not task.cancelled():
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -9,7 +9,7 @@
 HEARTBEAT_INTERVAL_SECONDS = 1.0
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 DRAIN_SECONDS = 2.0
-SLOTS = 8
+SLOTS = (4, 12)  # by turns
 QUEUE = 8
 ANSWERS_PER_CONNECTION = 50
 SLOW_SECONDS = 2.0
@@ -105,10 +105,11 @@
     the checksum of its body: /ROUTE/MILLISECONDS/LENGTH/CRC/ID.
     """
 
-    def __init__(self, name, host, ports, control, runs, report):
+    def __init__(self, index, name, host, ports, control, runs, report):
         self.name, self.host, self.port, self.control = (name, host, ports[0],
                                                          control)
         self.proxy = Proxy(host, ports[1], (host, ports[0]))
+        self.slots = SLOTS[index % len(SLOTS)]
         self.runs = runs  # runs by request id
         self.report = report  # called with (rule, request id, text)
         self.mode = ""
@@ -162,7 +163,7 @@
         echo = {"X-Kingcupslip-Request-Id": request_id}
         if fields.get("x-kingcupslip-expected-instance") != self.instance:
             return await self.reply(writer, 421, echo)
-        if self.mode == "refuse" or self.running >= SLOTS + QUEUE:
+        if self.mode == "refuse" or self.running >= self.slots + QUEUE:
             return await self.reply(writer, 503, {
                 **echo, "X-Kingcupslip-Not-Executed": "1"})
         _, _, run_ms, size, crc, path_id = path.split("/")
@@ -226,7 +227,7 @@
         self.sequence += 1
         return await self.call_control("Heartbeat", {
             "service": "svc", "address": f"{self.host}:{self.proxy.port}",
-            "zone": "dc-a", "version": "v1", "slots": SLOTS,
+            "zone": "dc-a", "version": "v1", "slots": self.slots,
             "state": self.state, "cold-remaining-s": 0,
             "sequence": self.sequence, "born": self.born})
 
