HTTP client: a TRACE request with a body does not end the process

What callers saw: all connections of a node closed without an answer, after one caller's request.

Cause: Beast's prepare_payload() throws for a TRACE with a body; the exception left the loop and ended the process.

Before: http_client.a_request_of_any_method_may_have_a_body: terminate called after throwing std::invalid_argument, "invalid request body".

--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -84,7 +84,12 @@
     }
     m_correlation_header = std::move(request.echoed_header);
     m_request.body() = std::move(request.body);
-    m_request.prepare_payload();
+    if (m_request.method() == http::verb::trace) {
+      // prepare_payload() throws if such a request has a body.
+      m_request.content_length(m_request.body().size());
+    } else {
+      m_request.prepare_payload();
+    }
   }
 
   void start() {
--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -132,6 +132,24 @@
   CHECK(sent == received);
 }
 
+// A TRACE request with a body ended the process.
+TEST(http_client, a_request_of_any_method_may_have_a_body) {
+  for (const char* method : {"TRACE", "GET", "CUSTOM"}) {
+    relayed_server s;
+    target_request r;
+    r.method = method;
+    r.path = "/";
+    r.time_left = milliseconds(1000);
+    r.body.assign(5, 'a');
+    target_result got;
+    s.client.send(1, std::move(r),
+                  [&got](target_result t) { got = std::move(t); });
+    s.run_for(milliseconds(200));
+    LONGS_EQUAL(200, got.status);
+    LONGS_EQUAL(5, got.body.size());
+  }
+}
+
 // An exchange that outlived its client wrote to the client's memory.
 TEST(http_client, an_exchange_may_outlive_its_client) {
   relayed_server s;
