HTTP server: an interrupted check is no disconnect

The watch for a disconnect looks at the received bytes first, as before, and asks for the state of the stream only where bytes hide its end, so that it depends on poll() only there.

--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -9,10 +9,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <linux/sockios.h>
 #include <optional>
 #include <poll.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace kingcupslip {
@@ -46,6 +48,13 @@
 /// Whether the peer has closed, or shut down its direction; unread bytes do
 /// not hide it.
 bool is_disconnected(tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t n =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n <= 0) {
+    return n == 0 ||
+           (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  }
   pollfd p{};
   p.fd = socket.native_handle();
   p.events = POLLRDHUP;
