Graceful stop: answers close their connections from SIGTERM on

What callers saw: requests on idle kept connections that met the end of the process.

Cause: answers closed their connections only from 3 s after SIGTERM on, when most callers had already left, so that many idle connections were open at the end.

Change: they do so from SIGTERM on. Session adapter_stop_with_requests looks at an answer 0.5 s after SIGTERM.

--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -75,7 +75,7 @@
   void start_draining();
   bool draining() const { return m_draining; }
   /// Whether callers have had time to notice that this node is not ready. From
-  /// then on new requests are refused and answers close their connections.
+  /// then on new requests are refused.
   bool closing() const;
   bool drained() const { return m_left; }
   /// Whether the process has to exit now, even if answers are still being
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -209,9 +209,9 @@
     m_settings_checked_at = m_node->clock().now;
     reload_settings();
   }
-  if (m_node->closing()) {
-    // Further responses close their connections, so that callers connect to
-    // another node.
+  if (m_node->draining()) {
+    // Further responses close their connections, so that few are open, and
+    // none of them in use, when the process ends.
     m_caller_server->disable_keep_alive();
   }
   if (may_exit()) {
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -608,6 +608,14 @@
         except (OSError, http.client.HTTPException) as e:
             return "no answer: " + type(e).__name__
 
+    @staticmethod
+    def call_and_get_header(connection, path, name):
+        connection.request("GET", path, headers={
+            "Host": "h.example", "X-Kingcupslip-Request-Id": "q0"})
+        answer = connection.getresponse()
+        answer.read()
+        return answer.getheader(name)
+
     def start_again(self, node):
         node.endpoint.delay = 0
         node.start()
@@ -620,7 +628,7 @@
     def stop_with_requests(self):
         """SIGTERM: kept connections get whole answers before the exit."""
         self.store.put("op", "config", desired_state(
-            "r11", [*ROUTES, route("long", "/long/", "non_idempotent",
+            "r40", [*ROUTES, route("long", "/long/", "non_idempotent",
                                    **{"timeout-s": 30})]))
         node = self.nodes[1]
         early, late, slow = (self.start_again(node) if i == 0 else
@@ -650,7 +658,10 @@
         threads[1].start()
         time.sleep(0.3)
         node.process.send_signal(signal.SIGTERM)
-        time.sleep(2.5)
+        time.sleep(0.5)
+        yield "connection of an answer", self.call_and_get_header(
+            late, "/nowhere/a", "Connection")
+        time.sleep(2)
         threads.append(threading.Thread(target=run, args=("taken late", late)))
         threads[2].start()
         exit_status = node.process.wait(10)
