Soak: signals by process descriptor, settings replaced at once

asyncio's own way to send a signal waits for the process, so that the loop could miss its exit status ("Unknown child process" with 200 nodes); and a node that started while its settings were rewritten read an empty file (status 2 with 60 nodes). Both were faults of the soak. A run that starts after the connection was closed excuses no longer.

--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -61,6 +61,7 @@
 FIRST_FAULT_SECONDS = 2.0
 MEAN_FAULT_INTERVAL_SECONDS = 0.7
 CALM_SECONDS = 2.0
+CLOSE_SECONDS = 0.5  # for the connections to the nodes to end
 STOP_INTERVAL_SECONDS = 8
 SAMPLE_INTERVAL_SECONDS = 0.05
 FIRST_PORT = 10_000
@@ -85,10 +86,13 @@
 
 
 def make_schedule(seed, seconds, node_count):
-    """Returns random faults; for seed 0, stops of all nodes but the first."""
+    """Returns random faults; for seed 0, stops of all nodes but the first,
+    whose endpoint is slow meanwhile."""
     if seed == 0:
-        return [Fault(at_s, "stop", list(range(1, node_count)), 0, 0.5)
-                for at_s in range(2, int(seconds), STOP_INTERVAL_SECONDS)]
+        return [fault for at_s in range(2, int(seconds), STOP_INTERVAL_SECONDS)
+                for fault in (
+                    Fault(at_s, "stop", list(range(1, node_count)), 0, 0.5),
+                    Fault(at_s, "endpoint_mode", [0], 1, 0.99))]
     choose = random.Random(seed)
     out = []
     at_s = FIRST_FAULT_SECONDS
@@ -135,17 +139,26 @@
         self.run_delays = []  # (time, seconds ready to run, but not run)
         self.pauses = []  # [from, to]
         self.process = None
+        self.pidfd = None
         self.up = False
         self.busy = False  # stopping or starting
         self.exit_expected = False
 
+    def write_settings(self):
+        path = self.soak.folder / f"{self.name}.yaml"
+        path.with_suffix(".tmp").write_text(json.dumps(self.settings))
+        path.with_suffix(".tmp").rename(path)
+
     async def start(self):
         path = self.soak.folder / self.name
-        path.with_suffix(".yaml").write_text(json.dumps(self.settings))
+        self.write_settings()
         with open(path.with_suffix(".log"), "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 run_platform.ADAPTER, "--config", path.with_suffix(".yaml"),
                 stdout=log, stderr=log)
+        if self.pidfd is not None:
+            os.close(self.pidfd)
+        self.pidfd = os.pidfd_open(self.process.pid)
         self.exit_expected = False
         self.starts.append(time.monotonic())
         self.run_delay_ns = 0
@@ -178,9 +191,16 @@
 
     def send(self, number, process=None):
         """Sends a signal, if this process (or any) of the node runs."""
-        if self.up and self.process.returncode is None and (
-                process in (None, self.process)):
-            self.process.send_signal(number)
+        if self.up and process in (None, self.process):
+            self.deliver(number)
+
+    def deliver(self, number):
+        # Unlike the methods of the process this does not wait for it, which
+        # is left to the event loop.
+        try:
+            signal.pidfd_send_signal(self.pidfd, number)
+        except ProcessLookupError:
+            pass
 
     async def stop(self, again_after_s=None, restart_after_s=None):
         """SIGTERM, and SIGKILL at the end of the grace period."""
@@ -205,7 +225,7 @@
                                    time.monotonic())
         if process.returncode is None:
             self.kills.append(time.monotonic())
-            process.kill()
+            self.deliver(signal.SIGKILL)
             await process.wait()
         if process.returncode != 0 and not disturbed:
             self.soak.report("EXIT", self.name,
@@ -336,8 +356,7 @@
         elif fault.kind == "reload":
             for n in nodes:
                 n.settings["retry_slack"] = pick(fault.x, (10, 10, 20, 30))
-                path = self.folder / f"{n.name}.yaml"
-                path.write_text(json.dumps(n.settings))
+                n.write_settings()
                 n.send(signal.SIGHUP)
         elif fault.kind == "change_state":
             self.change_state()
@@ -410,8 +429,9 @@
             for n in self.nodes:
                 if n.process and n.process.returncode is None:
                     n.exit_expected = True
-                    n.process.kill()
+                    n.deliver(signal.SIGKILL)
                     await n.process.wait()
+            await asyncio.sleep(CLOSE_SECONDS)
 
     async def check_serves(self, node):
         """Checks that the node, without faults, serves requests again."""
@@ -492,7 +512,7 @@
         if stop is None:
             return "LOST"
         if (r.sent_at <= stop + LAST_SENT_AFTER_SIGTERM_SECONDS
-                and any(run.started_at < stop + GRACE_SECONDS and run.ends_at
+                and any(run.started_at < r.ended_at and run.ends_at
                         + self.lateness(run.ends_at, r.ended_at, node)
                         > stop + GRACE_SECONDS - LAST_PART_OF_GRACE_SECONDS
                         for run in runs)):
--- a/tests/soak/soak_standins.py
+++ b/tests/soak/soak_standins.py
@@ -212,16 +212,20 @@
         text = json.dumps(body).encode()
         try:
             reader, writer = await asyncio.open_connection(*self.control)
+        except OSError:
+            return False
+        try:
             writer.write(f"POST /Instances.{call}/{self.instance} HTTP/1.1\r\n"
                          f"Host: node\r\nContent-Type: application/json\r\n"
                          f"Content-Length: {len(text)}\r\n\r\n".encode()
                          + text)
             first = await asyncio.wait_for(reader.readline(),
                                            HEARTBEAT_TIMEOUT_SECONDS)
-            writer.close()
             return first.split(b" ")[1:2] == [b"200"]
         except (OSError, asyncio.TimeoutError):
             return False
+        finally:
+            writer.close()
 
     async def send_heartbeat(self):
         self.sequence += 1
