--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -187,6 +187,7 @@
             await self.read_answer(r, connection)
         except asyncio.TimeoutError:
             r.gave_up = True
+            r.answer_began_at = connection.first_byte_at
             connection.transport.abort()
         r.ended_at = time.monotonic()
         if r.status is None and connection.closed and not r.gave_up:
