Target stage: queued requests do not reach a target that leaves

The same holds for a data centre that is taken out.

Cause: new requests were refused from the announcement on, but those in the queue were started for as long as their callers waited.

Change: queued requests start for one more second, and are then refused as not run, so that they may go to another target.

Test: routed_node.queued_requests_do_not_reach_a_target_that_leaves, for an announcement and for an out mark; before: started_at.back() - left_at <= 2 s failed.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t max_running_before_answer = 3;
 /// A longer queue would not raise the rate, and another target may have room.
 constexpr duration max_rate_limit_wait = std::chrono::milliseconds(500);
+/// How long queued requests are still sent to a target after it said that it
+/// leaves, or was taken out of service.
+constexpr duration max_start_after_leaving = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds shed_retry_after{1000};
 
 /// An unknown priority, from a node of another release, counts as the lowest.
@@ -214,9 +217,18 @@
     stop_sending();
   }
   shed_unfinishable();
+  refuse_for_leaving_target();
   start_queued();
 }
 
+void target_stage::refuse_for_leaving_target() {
+  if (!m_target_draining && !m_out_of_service) {
+    m_last_in_service = m_clock.now;
+  } else if (m_clock.now - m_last_in_service >= max_start_after_leaving) {
+    refuse_queued(reason::draining);
+  }
+}
+
 void target_stage::start_draining(instant finish_by) {
   m_draining = true;
   m_finish_by = finish_by;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -256,6 +256,9 @@
   /// Refuses all queued requests and accepts none until the next announcement.
   void stop_sending();
   void refuse_queued(reason why);
+  /// Refuses queued requests once the target has been leaving, or out of
+  /// service, for too long to send it more.
+  void refuse_for_leaving_target();
   /// Refuses queued requests that can no longer finish before their deadline,
   /// or before the process has to exit.
   void shed_unfinishable();
@@ -297,6 +300,8 @@
   bool m_draining = false;
   bool m_out_of_service = false;
   bool m_target_draining = false;
+  /// When the target was last seen neither leaving nor out of service.
+  instant m_last_in_service{0};
 };
 
 } // namespace kingcupslip
--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -425,6 +425,47 @@
   CHECK(load.ran * 100 >= load.sent * 85);
 }
 
+// Requests that waited for a target when it said that it leaves were sent to it
+// seconds later.
+TEST(routed_node, queued_requests_do_not_reach_a_target_that_leaves) {
+  for (const bool by_mark : {false, true}) {
+    routed_fleet f(41);
+    f.write_routes(simple_routes());
+    f.slots = 1;
+    fake_target::options slow;
+    slow.slots = 1;
+    slow.service_time = milliseconds(700);
+    f.add("a1", "dc-a", "svc", slow);
+    f.add("a2", "dc-b", "other", slow);
+    f.run_for(seconds(3));
+    f.request_and_wait("a1", "/once/x", "k");
+    std::size_t answered = 0;
+    for (int i = 0; i < 7; ++i) {
+      f.request(
+          "a1", "/once/x", "k", [&answered](const outcome&) { ++answered; },
+          seconds(12));
+    }
+    f.run_for(milliseconds(50));
+    CHECK(f.at("a1").target().queued() > 3);
+    f.announcing = false;
+    target_announcement a;
+    a.instance = "a1-1";
+    a.start_time_ms = 1;
+    a.sequence = 1000;
+    a.service = "svc";
+    a.max_concurrency = 1;
+    a.draining = !by_mark;
+    f.at("a1").on_target_announce(a);
+    if (by_mark) {
+      f.mark_out("dc-a", true);
+    }
+    const instant left_at = f.time.now();
+    f.run_for(seconds(6));
+    LONGS_EQUAL(7, answered);
+    CHECK(f.target("a1").started_at.back() - left_at <= seconds(2));
+  }
+}
+
 TEST(routed_node, a_graceful_stop_finishes_running_requests) {
   routed_fleet f(16);
   build_routed_fleet(f, 2);
