Target stage: a cancelled connect does not take the target out of use

What callers saw: all requests that waited for a target were refused (no_target) until its next announcement, after one caller had left while the node was opening a connection for its request.

Cause: a cancelled exchange that has no connection yet ends as not connected, which was taken for a target that accepts none. Found by review.

Before: not_run_answer.a_cancelled_connect_says_nothing_about_the_target: CHECK(r.stage->ready()) failed.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -133,7 +133,9 @@
   if (moved || result.end != exchange_end::answered) {
     log_failed_run(r, result, moved);
   }
-  if (moved || result.end == exchange_end::not_connected) {
+  const bool unreachable =
+      result.end == exchange_end::not_connected && !r.cancelled;
+  if (moved || unreachable) {
     // No requests are sent until the target announces itself again.
     stop_sending();
   }
--- a/tests/core/not_run_answer_test.cpp
+++ b/tests/core/not_run_answer_test.cpp
@@ -33,6 +33,7 @@
     hooks.run = [this](std::uint64_t run, const target_request&) {
       started = run;
     };
+    hooks.cancel = [](std::uint64_t) {};
     hooks.log = [](event_id, const event_fields&) {};
     stage = std::make_unique<target_stage>(options, hooks, clock, condemned);
     target_announcement a;
@@ -42,8 +43,8 @@
     wire::callT call;
     call.service = "svc";
     call.idempotent = idempotent;
-    stage->submit(std::move(call), clock.now + std::chrono::seconds(1),
-                  [this](outcome o) { result = std::move(o); });
+    ticket = stage->submit(std::move(call), clock.now + std::chrono::seconds(1),
+                           [this](outcome o) { result = std::move(o); });
   }
 
   outcome answer(std::uint16_t status, const std::vector<header>& headers) {
@@ -55,6 +56,7 @@
   quarantine condemned;
   std::unique_ptr<target_stage> stage;
   std::uint64_t started = 0;
+  std::uint64_t ticket = 0;
   outcome result;
 };
 
@@ -85,6 +87,15 @@
   CHECK_FALSE(r.stage->ready());
 }
 
+// One caller that left while its connection was being opened took the target
+// out of use.
+TEST(not_run_answer, a_cancelled_connect_says_nothing_about_the_target) {
+  answered_request r(true);
+  r.stage->cancel(r.ticket);
+  r.stage->on_result(r.started, {exchange_end::not_connected, 0, {}, {}});
+  CHECK(r.stage->ready());
+}
+
 TEST(not_run_answer, a_refusal_needs_the_statement_of_its_target) {
   answered_request stated(false);
   CHECK(verdict::not_run ==
