HTTP server: a refusal after a HEAD request has its body

What callers saw: a refusal with a length and no body, on a connection that had carried a HEAD request before, when the next request could not be read.

Cause: the mark of a HEAD request was set by the next request that was read, and a refusal of one that was not read met the old mark. Found by review.

Before: http_server.a_refusal_after_a_head_request_is_whole: the body was empty.

--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -151,6 +151,7 @@
     m_parser->body_limit(m_limits.max_body_bytes);
     m_parser->get().body().max_bytes = m_limits.max_body_bytes;
     m_timed_out = false;
+    m_is_head_request = false;
     start_timer(m_limits.request_timeout, &http_session::on_request_timeout);
     const std::shared_ptr<http_session> self = shared_from_this();
     http::async_read(m_socket, m_buffer, *m_parser,
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -235,6 +235,18 @@
   LONGS_EQUAL(0, s.causes.size());
 }
 
+// The refusal that followed a HEAD request on its connection had no body.
+TEST(http_server, a_refusal_after_a_head_request_is_whole) {
+  served s({});
+  raw_caller caller(s);
+  caller.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+  caller.read_until("\r\n\r\n");
+  caller.send("no request\r\n\r\n");
+  const std::string refusal = caller.read_until("never");
+  STRCMP_EQUAL("HTTP/1.1 400 Bad Request", status_line(refusal).c_str());
+  CHECK(refusal.substr(refusal.find("\r\n\r\n")).size() > 4);
+}
+
 // A disconnect after the bytes of a next request went unnoticed.
 TEST(http_server, a_disconnect_behind_a_next_request_is_noticed) {
   served s({});
