Reports: a path that is not UTF-8 does not end kingcupslipd

What callers saw: all connections of a node closed without an answer, some seconds after one caller without a key had asked for a service whose name is not UTF-8.

Cause: the service of a refused request is counted as it came, and writing the report threw (type_error.316) out of the next tick. The same for an operation id in a change and, with a value that is no object, for the withdrawal of a key; both need the operators' token. Found by review.

Before: foreign_rows.a_service_that_is_not_utf8_does_not_end_the_report: terminate called after throwing type_error.

--- a/src/kingcupslip/core/config_rows.cpp
+++ b/src/kingcupslip/core/config_rows.cpp
@@ -21,7 +21,7 @@
               {"value", c.item.value},
               {"sequence", c.item.sequence},
               {"operation", c.operation}}
-      .dump();
+      .dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 config_change parse_change(std::string_view json_text) {
--- a/src/kingcupslip/core/request_counters.cpp
+++ b/src/kingcupslip/core/request_counters.cpp
@@ -87,7 +87,8 @@
                    {"uncertain", to_object(t.uncertain)},
                    {"retried", to_object(t.retried)}});
   }
-  return out.dump();
+  // Services in the paths of refused requests may be no UTF-8.
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 bool request_counters::add_from_json(std::string_view text) {
--- a/src/kingcupslip/daemon/admin_service.cpp
+++ b/src/kingcupslip/daemon/admin_service.cpp
@@ -200,7 +200,11 @@
     handler(error_response(404, "no such key"));
     return;
   }
-  json value = json::parse(item->value);
+  json value = json::parse(item->value, nullptr, false);
+  if (!value.is_object()) {
+    handler(error_response(500, "the key's row cannot be read"));
+    return;
+  }
   value["withdrawn"] = true;
   write_item(r, "key/" + id, value.dump(), json{{"id", id}}.dump(), handler);
 }
--- a/tests/core/foreign_rows_test.cpp
+++ b/tests/core/foreign_rows_test.cpp
@@ -111,3 +111,12 @@
     counters.add_from_json(row);
   }
 }
+
+// The path of a refused request ended the process when the report was written.
+TEST(foreign_rows, a_service_that_is_not_utf8_does_not_end_the_report) {
+  request_counters counts;
+  counts.on_asked({"", "\xff"});
+  request_counters copy;
+  CHECK(copy.add_from_json(counts.to_json()));
+  LONGS_EQUAL(1, copy.rows().size());
+}
