Soak: a failure in place of an answer after SIGTERM is judged

A node that breaks off a request at which its endpoint is at work and answers a failure in its place needs the same reasons as one that closes the connection; until now these were only counted. Runs beside another node that was disturbed or stopped are still only counted (the node's own reasons cannot be told apart there). Found by review.

--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -489,7 +489,8 @@
                 else:
                     at_work = any(run.started_at < r.ended_at < run.ends_at
                                   and not run.fault for run in runs)
-                    outcome = "broken_off" if at_work else "failed"
+                    outcome = (self.judge_broken_off(node, r, runs) if at_work
+                               else "failed")
                 if outcome in counts:
                     counts[outcome] += 1
                 else:
@@ -515,12 +516,7 @@
         stop = max((t for t in node.stops if t <= r.ended_at), default=None)
         if stop is None:
             return "LOST"
-        last_part = stop + GRACE_SECONDS - LAST_PART_OF_GRACE_SECONDS
-        if (r.sent_at <= stop + LAST_SENT_AFTER_SIGTERM_SECONDS
-                and r.ended_at > last_part
-                and any(run.started_at < r.ended_at and run.ends_at
-                        + self.lateness(run.ends_at, r.ended_at, node)
-                        > last_part for run in runs)):
+        if self.outlasts_grace(node, r, runs, stop):
             return "excused_work"
         if r.received_bytes:
             # At its pace the client reads on after the grace period.
@@ -530,6 +526,35 @@
                 return "excused_reader"
         return "LOST"
 
+    def judge_broken_off(self, node, r, runs):
+        """Judges a failure that the node answered while an endpoint was at
+        work: after a SIGTERM it needs the reasons of a cut connection. Runs
+        beside another node that was disturbed or stopped are not judged."""
+        stop = max((t for t in node.stops if t <= r.ended_at), default=None)
+        after = r.sent_at - UNDISTURBED_SECONDS
+        others = {self.node_of(run) for run in runs} - {node}
+        judged = (stop is not None and r.ended_at <= stop + GRACE_SECONDS
+                  and not any(n.disturbed(after, r.ended_at)
+                              for n in others | {node})
+                  and not any(after <= t <= r.ended_at
+                              for n in others for t in n.stops))
+        if not judged:
+            return "broken_off"
+        if r.ended_at >= r.sent_at + DEADLINE_SECONDS:
+            return "expired"
+        return ("excused_work" if self.outlasts_grace(node, r, runs, stop)
+                else "LOST")
+
+    def outlasts_grace(self, node, r, runs, stop):
+        """Whether a request that was sent early enough was still at work in
+        the last part of the grace period."""
+        last_part = stop + GRACE_SECONDS - LAST_PART_OF_GRACE_SECONDS
+        return (r.sent_at <= stop + LAST_SENT_AFTER_SIGTERM_SECONDS
+                and r.ended_at > last_part
+                and any(run.started_at < r.ended_at and run.ends_at
+                        + self.lateness(run.ends_at, r.ended_at, node)
+                        > last_part for run in runs))
+
     def node_of(self, run):
         """Returns the node beside the endpoint of a run."""
         return self.nodes[int(run.instance.split("-")[1][1:]) - 1]
