--- a/src/kingcupslip/core/crash_detector.cpp
+++ b/src/kingcupslip/core/crash_detector.cpp
@@ -10,6 +10,16 @@
 
 /// All runs that a crash ends are lost within this time after the first one.
 constexpr duration max_loss_interval = std::chrono::milliseconds(200);
+/// Bounds the length of a log line.
+constexpr std::size_t max_logged_digests = 8;
+
+std::string join_digests(const std::vector<std::uint64_t>& digests) {
+  std::string out;
+  for (std::size_t i = 0; i < digests.size() && i < max_logged_digests; ++i) {
+    out += (i == 0 ? "" : ",") + std::to_string(digests[i]);
+  }
+  return out;
+}
 
 } // namespace
 
@@ -19,7 +29,7 @@
 void crash_detector::on_run_lost(std::uint64_t run,
                                  const digests_by_run& running, instant now) {
   if (m_pending_loss && now - m_pending_loss->at > max_loss_interval) {
-    m_pending_loss.reset();
+    dismiss("lost_again");
   }
   if (!m_pending_loss) {
     m_pending_loss = loss{};
@@ -30,6 +40,10 @@
     }
   }
   m_pending_loss->remaining_runs.erase(run);
+  if (m_pending_loss->remaining_runs.empty()) {
+    m_log(event_id::target_runs_lost,
+          {{"digests", join_digests(m_pending_loss->in_flight)}});
+  }
 }
 
 void crash_detector::resolve(bool instance_ended, instant now) {
@@ -47,7 +61,17 @@
               {{"digest", std::to_string(digest)}});
       }
     }
+    m_pending_loss.reset();
+    return;
   }
+  dismiss(all_lost ? "same_instance" : "runs_outlived_it");
+}
+
+void crash_detector::dismiss(const char* why) {
+  m_log(event_id::crash_dismissed,
+        {{"why", why},
+         {"remaining", std::to_string(m_pending_loss->remaining_runs.size())},
+         {"in_flight", std::to_string(m_pending_loss->in_flight.size())}});
   m_pending_loss.reset();
 }
 
--- a/src/kingcupslip/core/crash_detector.hpp
+++ b/src/kingcupslip/core/crash_detector.hpp
@@ -42,6 +42,8 @@
     std::set<std::uint64_t> remaining_runs; ///< not lost so far
   };
 
+  void dismiss(const char* why);
+
   quarantine& m_quarantine;
   event_sink m_log;
   std::optional<loss> m_pending_loss;
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -164,9 +164,15 @@
   }
   m_dependencies.members.on_message_received(from, m_clock.now);
   for (const std::unique_ptr<wire::suspectT>& it : m.suspects) {
-    m_dependencies.crash_quarantine.merge(
+    const bool learned = m_dependencies.crash_quarantine.merge(
         it->digest, it->crashes, std::chrono::milliseconds(it->expires_in_ms),
         m_clock.now);
+    if (learned) {
+      m_dependencies.log(event_id::crash_learned,
+                         {{"digest", std::to_string(it->digest)},
+                          {"crashes", std::to_string(it->crashes)},
+                          {"from", from}});
+    }
   }
   m_dependencies.on_peer_gossip(from, m);
   if (m.answer_wanted) {
--- a/src/kingcupslip/core/quarantine.cpp
+++ b/src/kingcupslip/core/quarantine.cpp
@@ -39,13 +39,14 @@
   }
 }
 
-void quarantine::merge(std::uint64_t digest, std::uint32_t crashes,
+bool quarantine::merge(std::uint64_t digest, std::uint32_t crashes,
                        duration ttl, instant now) {
   if (crash_count(digest, now) >= crashes) {
-    return;
+    return false;
   }
   evict_if_full(now);
   m_entries[digest] = entry{digest, crashes, now + std::min(ttl, entry_ttl)};
+  return true;
 }
 
 bool quarantine::is_suspect(std::uint64_t digest, instant now) {
--- a/src/kingcupslip/core/quarantine.hpp
+++ b/src/kingcupslip/core/quarantine.hpp
@@ -33,8 +33,9 @@
   /// quarantined digest stays so until its entry expires.
   void on_completed(std::uint64_t digest);
 
-  /// Merges the count of another node; the larger one is kept.
-  void merge(std::uint64_t digest, std::uint32_t crashes, duration ttl,
+  /// Merges the count of another node; the larger one is kept. Returns whether
+  /// that is the one of the other node.
+  bool merge(std::uint64_t digest, std::uint32_t crashes, duration ttl,
              instant now);
 
   bool is_suspect(std::uint64_t digest, instant now);
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -230,8 +230,10 @@
 
 void routed_node::update_target_state() {
   const service_settings* settings = target_service_settings();
+  const double cold_rate =
+      settings == nullptr ? 0 : settings->cold_requests_per_s;
   m_local_target.set_cold_rate(
-      settings == nullptr ? 0 : settings->cold_requests_per_s);
+      m_state.routes() == nullptr ? std::nullopt : std::optional(cold_rate));
   m_gossip.set_service(m_local_target.service());
   m_gossip.set_ready(m_local_target.ready(),
                      static_cast<double>(m_local_target.capacity()));
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -175,7 +175,9 @@
   m_target_draining = a.draining || m_notices.leaving();
   m_service = a.service.empty() ? m_options.service : a.service;
   m_max_concurrency = a.max_concurrency;
+  const bool cold_before = !new_instance && m_clock.now < m_cold_until;
   m_cold_until = m_clock.now + a.cold_time_left;
+  log_if_cold(cold_before, "announced");
   m_ready = true;
   start_queued();
 }
@@ -271,11 +273,29 @@
 }
 
 void target_stage::assume_cold(duration period) {
+  const bool cold_before = m_clock.now < m_cold_until;
   m_cold_until = m_clock.now + period;
+  log_if_cold(cold_before, "assumed");
 }
 
-void target_stage::set_cold_rate(double per_s) {
-  m_cold_start_bucket.resize(per_s, cold_burst, m_clock.now);
+void target_stage::set_cold_rate(std::optional<double> per_s) {
+  m_cold_rate_known = per_s.has_value();
+  m_cold_start_bucket.resize(per_s.value_or(0), cold_burst, m_clock.now);
+}
+
+void target_stage::log_if_cold(bool cold_before, const char* source) {
+  if (cold_before || m_clock.now >= m_cold_until) {
+    return;
+  }
+  m_hooks.log(
+      event_id::target_cold,
+      {{"instance", m_instance},
+       {"source", source},
+       {"cold_ms", std::to_string((m_cold_until - m_clock.now) /
+                                  std::chrono::milliseconds(1))},
+       {"rate_per_s", m_cold_rate_known
+                          ? std::to_string(m_cold_start_bucket.rate_per_s())
+                          : "unknown"}});
 }
 
 void target_stage::refuse_withdrawn_keys(
@@ -541,6 +561,7 @@
               {{"request", r.request_id},
                {"instance", m_instance},
                {"how", end_kind},
+               {"digest", std::to_string(r.digest)},
                {"ran_us", std::to_string((m_clock.now - r.started_at).count())},
                {"in_flight", std::to_string(m_runs.size())}});
   if (result.partial.bytes > 0) {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -165,8 +165,9 @@
 
   /// Treats the target as cold for `period`, or until its next announcement.
   void assume_cold(duration period);
-  /// Sets how many requests per second a cold target can take; 0: no limit.
-  void set_cold_rate(double per_s);
+  /// Sets how many requests per second a cold target can take; 0: no limit,
+  /// null: not known yet.
+  void set_cold_rate(std::optional<double> per_s);
 
   /// Refuses queued requests whose API key was withdrawn.
   void refuse_withdrawn_keys(const std::vector<std::string>& key_ids);
@@ -263,6 +264,9 @@
   /// or before the process has to exit.
   void shed_unfinishable();
   bool is_outdated(const target_announcement& a) const;
+  /// Logs that the target is cold, if it was not before. `source` says how this
+  /// node knows.
+  void log_if_cold(bool cold_before, const char* source);
 
   target_options m_options;
   target_hooks m_hooks;
@@ -293,6 +297,7 @@
   std::size_t m_max_concurrency = 0;
   instant m_cold_until{0};
   token_bucket m_cold_start_bucket;
+  bool m_cold_rate_known = false;
   instant m_announced_at{0};
   instant m_nested_overload_at{-1};
   bool m_ready = false;
