--- a/tests/core/foreign_rows_test.cpp
+++ b/tests/core/foreign_rows_test.cpp
@@ -52,6 +52,71 @@
   LONGS_EQUAL(200, f.request_and_wait("a1", "/safe/x", "k").status);
 }
 
+// A row that names a node of the fleet, with a number near the largest, took
+// its place: the other nodes ignored what the node said of itself from then on.
+TEST(foreign_rows, a_member_row_with_too_large_a_number_displaces_no_node) {
+  for (const char* incarnation :
+       {"18446744073709551615", "18446744073709551614", "9999999999999999",
+        "9007199254740992.0", "1e19"}) {
+    routed_fleet f(8);
+    std::uint64_t version = 0;
+    f.row_store.commit(
+        {{"member/dc-b/x", 0,
+          std::string(R"({"node":"b1","data_centre":"dc-b","address":"b1",)"
+                      R"("admin_url":"","service":"svc","incarnation":)") +
+              incarnation + "}",
+          false}},
+        version);
+    build_routed_fleet(f, 2);
+    const std::uint64_t before = f.target("b1").total_runs;
+    routed_load l(f, {"a1", "a2", "b2"}, "/safe/x", 200, seconds(2));
+    f.run_for(seconds(3));
+    LONGS_EQUAL(l.sent, l.ran);
+    CHECK_COMPARE(f.target("b1").total_runs, >, before);
+  }
+}
+
+// Guards against a reader that recurses, or that gives up on the whole list.
+TEST(foreign_rows, a_deeply_nested_member_row_hides_no_other_row) {
+  routed_fleet f(9);
+  std::uint64_t version = 0;
+  const std::size_t depth = 30'000;
+  const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+  std::string objects;
+  for (std::size_t i = 0; i < depth / 4; ++i) {
+    objects += R"({"a":)";
+  }
+  objects += "1" + std::string(depth / 4, '}');
+  std::size_t n = 0;
+  for (const std::string& row :
+       {nested, std::string(depth, '['), objects, R"({"node":)" + nested + "}",
+        R"({"node":"x","data_centre":"dc-a","address":)" + objects + "}"}) {
+    f.row_store.commit({{"member/a/" + std::to_string(n++), 0, row, false}},
+                       version);
+  }
+  build_routed_fleet(f, 2);
+  LONGS_EQUAL(200, f.request_and_wait("a1", "/safe/x", "k").status);
+  LONGS_EQUAL(4, f.at("a1").members().usable().size());
+}
+
+// An announcement with a start time near the largest number made every later
+// one of the target look outdated, and the target was lost.
+TEST(foreign_rows, an_announcement_with_too_large_a_start_time_is_ignored) {
+  routed_fleet f(10);
+  build_routed_fleet(f, 1);
+  target_announcement odd;
+  odd.instance = "other";
+  odd.start_time_ms = 18'446'744'073'709'551'615U;
+  odd.sequence = 1;
+  odd.service = "svc";
+  odd.max_concurrency = 10;
+  f.at("a1").on_target_announce(odd);
+  f.run_for(seconds(10));
+  f.kill("b1");
+  f.run_for(seconds(1));
+  LONGS_EQUAL(200, f.request_and_wait("a1", "/safe/x", "k").status);
+}
+
 TEST(foreign_rows, a_share_row_of_another_type_is_read) {
   for (
       const std::string& row : with_each_type(
--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -192,6 +192,31 @@
         static_cast<double>(l.sent) * 0.2 + 48);
 }
 
+// Each process that started had its share of the retries in full, so that nodes
+// that restarted again and again sent more than all nodes may.
+TEST(routed_node, retries_stay_within_their_budget_while_nodes_restart) {
+  routed_fleet f(12);
+  build_routed_fleet(f, 3);
+  const std::vector<std::string> nodes{"a1", "a2", "a3", "b1", "b2", "b3"};
+  for (const std::string& it : nodes) {
+    f.target(it).request_handler =
+        [](const target_request&,
+           const std::function<void(std::uint16_t)>& done) { done(500); };
+  }
+  routed_load l(f, nodes, "/safe/x", 20, seconds(10));
+  for (int round = 0; round < 10; ++round) {
+    for (const std::string& it : nodes) {
+      f.run_for(milliseconds(160));
+      f.kill(it);
+      f.restart_node(it);
+    }
+  }
+  const double runs = static_cast<double>(target_runs(f, nodes));
+  CHECK_COMPARE(runs - static_cast<double>(l.sent), <=,
+                static_cast<double>(l.sent) * 0.2 + 48);
+  f.run_for(seconds(2));
+}
+
 TEST(routed_node, late_announcements_of_an_earlier_instance_are_ignored) {
   routed_fleet f(13);
   build_routed_fleet(f, 1);
--- a/tests/net/peer_network_test.cpp
+++ b/tests/net/peer_network_test.cpp
@@ -139,3 +139,34 @@
   }
   LONGS_EQUAL(2, calls_after_cut(frame_bytes));
 }
+
+// Guards against an address that ends the process, or that is dialled, though
+// its port is out of range or no number.
+TEST(peer_network, an_address_without_a_valid_port_is_not_dialled) {
+  io_loop loop;
+  std::vector<std::uint64_t> unsent;
+  std::string address;
+  peer_hooks hooks;
+  hooks.on_message = [](const std::string&, wire::payloadUnion&) {};
+  hooks.on_unsent = [&unsent](std::uint64_t correlation) {
+    unsent.push_back(correlation);
+  };
+  hooks.on_connection_lost = [](const std::string&) {};
+  hooks.address_of = [&address](const std::string&) { return address; };
+  hooks.log = [](event_id, const event_fields&) {};
+  peer_network network(loop, identity("caller"), "the-secret-of-both",
+                       "127.0.0.1", 0, hooks);
+  std::uint64_t correlation = 0;
+  const std::string own_port = std::to_string(network.port());
+  for (const std::string& it : std::vector<std::string>{
+           "127.0.0.1:" + own_port + "x", "127.0.0.1:" + own_port + " ",
+           "127.0.0.1:65536", "127.0.0.1:99999999999999999999", "127.0.0.1:-1",
+           "127.0.0.1:0", "127.0.0.1:", "127.0.0.1", ":80", "127.0.0.1:80x",
+           "127.0.0.1: 80", "127.0.0.1:1e3", "[:80", "", ":"}) {
+    address = it;
+    network.send("peer", call_with(++correlation));
+    loop.poll();
+    loop.restart();
+    LONGS_EQUAL(correlation, unsent.size());
+  }
+}
