Target stage: a cold target gets nothing until its rate is known (FAILBACK)

What callers saw: cold targets got more requests than they bear, crashed, and took the requests that they ran with them.

Cause: the rate that a cold target bears stands in the routes. A node that has just started has none, and 0 stood for both 'no limit' and 'not known'.

Ruled out: two allowances of an old and a new process (the bucket of a new process is empty, and only one process sent).

Change: the settings of a cold start are null until routes are known. Until then a cold target gets nothing; the refusal sends the call to another target at once and costs no retry. Seen from the outside a state that is missing is now told from one that sets no limit, so it also holds where a service is added later.

--- a/src/kingcupslip/core/desired_state.cpp
+++ b/src/kingcupslip/core/desired_state.cpp
@@ -209,7 +209,13 @@
       current_routes() < routes_order{g.routes_revision,
                                       {g.routes_timeline, g.routes_version}} ||
       m_marks.position() < store_position{g.marks_timeline, g.marks_version};
-  if (!behind || m_clock.now - m_last_pull_at < min_pull_interval) {
+  if (behind) {
+    pull_from(from);
+  }
+}
+
+void desired_state::pull_from(const std::string& peer) {
+  if (m_clock.now - m_last_pull_at < min_pull_interval) {
     return;
   }
   m_last_pull_at = m_clock.now;
@@ -222,7 +228,7 @@
   pull.marks_version = m_marks.position().version;
   wire::payloadUnion body;
   body.Set(std::move(pull));
-  m_send(from, std::move(body));
+  m_send(peer, std::move(body));
 }
 
 void desired_state::on_pull(const std::string& from,
--- a/src/kingcupslip/core/desired_state.hpp
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -104,6 +104,8 @@
 
   void fill_gossip(wire::gossipT& g) const;
   void on_gossip(const std::string& from, const wire::gossipT& g);
+  /// Asks a peer for what this node lacks.
+  void pull_from(const std::string& peer);
   void on_pull(const std::string& from, const wire::desired_state_pullT& m);
   void on_desired_state(const wire::desired_stateT& m);
 
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -282,9 +282,12 @@
 }
 
 bool dispatcher::may_redirect(const dispatch_job& job, const outcome& o) const {
-  return o.refusal_reason == reason::target_rate_limited &&
-         o.execution == verdict::not_run && job.redirects < max_redirects &&
-         job.deadline > m_clock.now && !candidates(job).empty();
+  const bool target_did_not_get_it =
+      o.refusal_reason == reason::target_rate_limited ||
+      o.refusal_reason == reason::starting;
+  return target_did_not_get_it && o.execution == verdict::not_run &&
+         job.redirects < max_redirects && job.deadline > m_clock.now &&
+         !candidates(job).empty();
 }
 
 bool dispatcher::may_retry(dispatch_job& job, const outcome& o) {
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -107,8 +107,8 @@
                   outcome o);
   bool may_retry(dispatch_job& job, const outcome& o);
   /// Whether the request may go to another target at once, as the node beside
-  /// its target refused it for the target's rate limit. This is no retry: no
-  /// target has got the request.
+  /// its target refused it for the target's rate limit, or because it has no
+  /// routes yet. This is no retry: no target has got the request.
   bool may_redirect(const dispatch_job& job, const outcome& o) const;
   void finish(const std::shared_ptr<dispatch_job>& job, outcome o);
   void record_target_health(const std::string& node, const outcome& o);
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -78,6 +78,7 @@
           m_local_target, m_hooks.send, m_clock) {
   m_state.set_on_change([this] { apply_desired_state(); });
   m_state.set_on_store_restored([this] { m_gossip.on_table_restored(); });
+  m_local_target.set_cold_start(std::nullopt);
 }
 
 void routed_node::tick() {
@@ -105,6 +106,9 @@
                              wire::payloadUnion& body) {
   switch (body.type) {
   case wire::payload::call:
+    if (m_state.routes() == nullptr) {
+      m_state.pull_from(from);
+    }
     m_incoming_calls.on_call(from, std::move(*body.Ascall()));
     break;
   case wire::payload::reply:
@@ -211,29 +215,28 @@
   const bool out =
       m_state.data_centre_out_of_service(m_options.self.data_centre);
   m_local_target.set_out_of_service(out);
-  const service_settings* settings = target_service_settings();
-  if (m_out_of_service && !out && settings != nullptr) {
-    // The target may have become cold in the meantime; its next announcement
-    // states whether it has.
-    m_local_target.assume_cold(settings->cold_start);
+  if (m_out_of_service && !out) {
+    // The target may have become cold in the meantime.
+    m_local_target.assume_cold();
   }
   m_out_of_service = out;
   update_target_state();
   m_gossip.gossip_to_random(2);
 }
 
-const service_settings* routed_node::target_service_settings() const {
+std::optional<cold_start_settings> routed_node::target_cold_start() const {
   const route_table* table = m_state.routes();
-  return table == nullptr ? nullptr
-                          : table->find_service(m_local_target.service());
+  if (table == nullptr) {
+    return std::nullopt;
+  }
+  const service_settings* s = table->find_service(m_local_target.service());
+  return s == nullptr
+             ? cold_start_settings{}
+             : cold_start_settings{s->cold_requests_per_s, s->cold_start};
 }
 
 void routed_node::update_target_state() {
-  const service_settings* settings = target_service_settings();
-  const double cold_rate =
-      settings == nullptr ? 0 : settings->cold_requests_per_s;
-  m_local_target.set_cold_rate(
-      m_state.routes() == nullptr ? std::nullopt : std::optional(cold_rate));
+  m_local_target.set_cold_start(target_cold_start());
   m_gossip.set_service(m_local_target.service());
   m_gossip.set_ready(m_local_target.ready(),
                      static_cast<double>(m_local_target.capacity()));
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -93,10 +93,11 @@
 
 private:
   void apply_desired_state();
-  /// Updates the target's cold rate and announces its service, readiness and
-  /// concurrency limit.
+  /// Updates the target's cold start settings and announces its service,
+  /// readiness and concurrency limit.
   void update_target_state();
-  const service_settings* target_service_settings() const;
+  /// Null before the first routes.
+  std::optional<cold_start_settings> target_cold_start() const;
   void tick_drain();
   void update_retry_budget();
 
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -175,9 +175,7 @@
   m_target_draining = a.draining || m_notices.leaving();
   m_service = a.service.empty() ? m_options.service : a.service;
   m_max_concurrency = a.max_concurrency;
-  const bool cold_before = !new_instance && m_clock.now < m_cold_until;
-  m_cold_until = m_clock.now + a.cold_time_left;
-  log_if_cold(cold_before, "announced");
+  update_cold_start(a, new_instance);
   m_ready = true;
   start_queued();
 }
@@ -272,30 +270,53 @@
   m_out_of_service = out;
 }
 
-void target_stage::assume_cold(duration period) {
-  const bool cold_before = m_clock.now < m_cold_until;
-  m_cold_until = m_clock.now + period;
+void target_stage::assume_cold() {
+  const bool cold_before = cold();
+  m_assumed_cold_since = m_clock.now;
   log_if_cold(cold_before, "assumed");
 }
 
-void target_stage::set_cold_rate(std::optional<double> per_s) {
-  m_cold_rate_known = per_s.has_value();
-  m_cold_start_bucket.resize(per_s.value_or(0), cold_burst, m_clock.now);
+void target_stage::set_cold_start(const std::optional<cold_start_settings>& s) {
+  m_cold_start = s;
+  m_cold_start_bucket.resize(s ? s->requests_per_s : 0, cold_burst,
+                             m_clock.now);
 }
 
-void target_stage::log_if_cold(bool cold_before, const char* source) {
-  if (cold_before || m_clock.now >= m_cold_until) {
+void target_stage::update_cold_start(const target_announcement& a,
+                                     bool new_instance) {
+  const bool cold_before = !new_instance && cold();
+  m_announced_cold_until = m_clock.now + a.cold_time_left;
+  m_assumed_cold_since.reset();
+  log_if_cold(cold_before, m_assumed_cold_since ? "assumed" : "announced");
+}
+
+bool target_stage::cold() const {
+  const bool unlimited = m_cold_start && m_cold_start->requests_per_s <= 0;
+  return !unlimited && m_clock.now < cold_until();
+}
+
+instant target_stage::cold_until() const {
+  if (!m_assumed_cold_since) {
+    return m_announced_cold_until;
+  }
+  const instant assumed = m_cold_start
+                              ? *m_assumed_cold_since + m_cold_start->period
+                              : instant::max();
+  return std::max(m_announced_cold_until, assumed);
+}
+
+void target_stage::log_if_cold(bool cold_before, const char* source) const {
+  if (cold_before || !cold()) {
     return;
   }
-  m_hooks.log(
-      event_id::target_cold,
-      {{"instance", m_instance},
-       {"source", source},
-       {"cold_ms", std::to_string((m_cold_until - m_clock.now) /
-                                  std::chrono::milliseconds(1))},
-       {"rate_per_s", m_cold_rate_known
-                          ? std::to_string(m_cold_start_bucket.rate_per_s())
-                          : "unknown"}});
+  const duration left = cold_until() - m_clock.now;
+  m_hooks.log(event_id::target_cold,
+              {{"instance", m_instance},
+               {"source", source},
+               {"cold_ms", std::to_string(left / std::chrono::milliseconds(1))},
+               {"rate_per_s", m_cold_start
+                                  ? std::to_string(m_cold_start->requests_per_s)
+                                  : "unknown"}});
 }
 
 void target_stage::refuse_withdrawn_keys(
@@ -335,6 +356,9 @@
   if (m_options.plain_forwarding) {
     return std::nullopt;
   }
+  if (cold() && !m_cold_start) {
+    return reason::starting;
+  }
   const std::size_t ahead =
       m_queue.count_ahead(rank_of(request), request.team, request.weight);
   const duration longest_wait = max_wait(deadline);
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -80,6 +80,12 @@
   duration cold_time_left{0};      ///< until it can take its full load
 };
 
+/// What the targets of a service need after they have started.
+struct cold_start_settings {
+  double requests_per_s = 0; ///< that a cold target can take; 0: no limit
+  duration period{0};        ///< how long a target is cold
+};
+
 /// Encoding of requests and decoding of answers. Empty functions stand for the
 /// product's own protocol.
 struct target_protocol {
@@ -163,11 +169,11 @@
   /// or further downstream.
   void on_nested_overload() { m_nested_overload_at = m_clock.now; }
 
-  /// Treats the target as cold for `period`, or until its next announcement.
-  void assume_cold(duration period);
-  /// Sets how many requests per second a cold target can take; 0: no limit,
-  /// null: not known yet.
-  void set_cold_rate(std::optional<double> per_s);
+  /// Treats the target as cold for the period of a cold start, or until its
+  /// next announcement.
+  void assume_cold();
+  /// Null: not known yet. Until it is, a cold target gets no requests.
+  void set_cold_start(const std::optional<cold_start_settings>& s);
 
   /// Refuses queued requests whose API key was withdrawn.
   void refuse_withdrawn_keys(const std::vector<std::string>& key_ids);
@@ -246,9 +252,11 @@
   duration expected_wait(std::size_t ahead) const;
   /// The number of requests that `rate_per_s` keeps busy.
   std::size_t concurrency_at(double rate_per_s) const;
-  bool cold() const {
-    return m_clock.now < m_cold_until && m_cold_start_bucket.rate_per_s() > 0;
-  }
+  /// Whether the target is cold and bears fewer requests for that, as far as is
+  /// known.
+  bool cold() const;
+  /// The end of the current cold start; in the past if there is none.
+  instant cold_until() const;
   /// Whether the start rates of a cold target and of the target's own limit
   /// allow one more request now.
   bool allows_start();
@@ -264,9 +272,10 @@
   /// or before the process has to exit.
   void shed_unfinishable();
   bool is_outdated(const target_announcement& a) const;
+  void update_cold_start(const target_announcement& a, bool new_instance);
   /// Logs that the target is cold, if it was not before. `source` says how this
   /// node knows.
-  void log_if_cold(bool cold_before, const char* source);
+  void log_if_cold(bool cold_before, const char* source) const;
 
   target_options m_options;
   target_hooks m_hooks;
@@ -295,9 +304,11 @@
   target_notices m_notices;
   std::uint64_t m_started = 0;
   std::size_t m_max_concurrency = 0;
-  instant m_cold_until{0};
+  std::optional<cold_start_settings> m_cold_start = cold_start_settings{};
   token_bucket m_cold_start_bucket;
-  bool m_cold_rate_known = false;
+  instant m_announced_cold_until{0};
+  /// Set until the target announces itself.
+  std::optional<instant> m_assumed_cold_since;
   instant m_announced_at{0};
   instant m_nested_overload_at{-1};
   bool m_ready = false;
