Target stage: an announcement from before a return does not make a target warm

A target whose data centre returns was taken for cold 'until its next announcement', and one that refused a connection was used again at its next announcement. Announcements may arrive seconds late; one from before the return, or from before a crash whose successor has the same name, says nothing about the present.

Evidence: cold_target.is_not_taken_for_warm_by_an_announcement_from_before (402 requests in one second, 20 allowed) and cold_target.may_be_cold_after_it_refused_a_connection (370); both pass now.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -253,6 +253,7 @@
 
 void target_stage::stop_sending() {
   m_ready = false;
+  m_may_have_restarted = true;
   refuse_queued(reason::no_target);
 }
 
@@ -286,7 +287,12 @@
                                      bool new_instance) {
   const bool cold_before = !new_instance && cold();
   m_announced_cold_until = m_clock.now + a.cold_time_left;
-  m_assumed_cold_since.reset();
+  if (new_instance) {
+    m_assumed_cold_since.reset();
+  } else if (m_may_have_restarted) {
+    m_assumed_cold_since = m_clock.now;
+  }
+  m_may_have_restarted = false;
   log_if_cold(cold_before, m_assumed_cold_since ? "assumed" : "announced");
 }
 
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -169,8 +169,8 @@
   /// or further downstream.
   void on_nested_overload() { m_nested_overload_at = m_clock.now; }
 
-  /// Treats the target as cold for the period of a cold start, or until its
-  /// next announcement.
+  /// Treats the target as cold for the period of a cold start, whatever its
+  /// current instance announces: an announcement may be older than this call.
   void assume_cold();
   /// Null: not known yet. Until it is, a cold target gets no requests.
   void set_cold_start(const std::optional<cold_start_settings>& s);
@@ -307,8 +307,11 @@
   std::optional<cold_start_settings> m_cold_start = cold_start_settings{};
   token_bucket m_cold_start_bucket;
   instant m_announced_cold_until{0};
-  /// Set until the target announces itself.
+  /// Set while the current instance may be colder than it announces.
   std::optional<instant> m_assumed_cold_since;
+  /// The target may have ended and started again under its name since it last
+  /// announced itself.
+  bool m_may_have_restarted = false;
   instant m_announced_at{0};
   instant m_nested_overload_at{-1};
   bool m_ready = false;
