--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -120,13 +120,10 @@
   }
   run r = std::move(it->second);
   update_limits(r, result);
-  const bool late = m_clock.now >= r.deadline;
-  if (result.end == exchange_end::lost && !r.cancelled && !late) {
-    m_crash_detector.on_run_lost(run_id, running_digests(), m_clock.now);
-  }
   const bool moved = result.end == exchange_end::answered &&
                      m_options.protocol.is_moved_answer &&
                      m_options.protocol.is_moved_answer(result);
+  update_crashes(run_id, r, result, moved);
   if (!moved) {
     update_notices(r, result);
   }
@@ -166,7 +163,9 @@
     m_notices.on_new_instance(a.instance, a.start_time_ms, m_clock.now);
     m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
-  m_crash_detector.resolve(new_instance, m_clock.now);
+  if (new_instance) {
+    m_crash_detector.on_instance_ended(m_clock.now);
+  }
   m_instance = a.instance;
   m_start_time_ms = a.start_time_ms;
   m_sequence = a.sequence;
@@ -195,6 +194,7 @@
   if (instance == m_instance &&
       (!start_time_known || start_time_ms == m_start_time_ms)) {
     m_target_draining = true;
+    m_crash_detector.on_planned_end();
     stop_sending();
   }
 }
@@ -212,10 +212,11 @@
 }
 
 void target_stage::tick() {
+  m_crash_detector.tick(m_clock.now);
   const bool silent = m_clock.now - m_announced_at > m_options.announce_timeout;
   if (m_ready && silent) {
     m_hooks.log(event_id::target_silent, {{"instance", m_instance}});
-    m_crash_detector.resolve(true, m_clock.now);
+    m_crash_detector.on_instance_ended(m_clock.now);
     stop_sending();
   }
   shed_unfinishable();
@@ -404,6 +405,10 @@
     }
     const auto it = m_queued_calls.find(w->id);
     const std::uint64_t digest = it->second.request.digest;
+    if (m_quarantine.is_quarantined(digest, m_clock.now)) {
+      to_shed.push_back({w->id, reason::quarantined});
+      continue;
+    }
     if (m_quarantine.is_suspect(digest, m_clock.now) && suspect_running()) {
       // Only one suspect runs at a time, so that a second crash identifies its
       // cause. This one is shed rather than left to block the queue.
@@ -515,7 +520,30 @@
     return;
   }
   m_limit.on_answer(m_clock.now - r.started_at, m_runs.size(), m_clock.now);
-  m_quarantine.on_completed(r.digest);
+}
+
+void target_stage::update_crashes(std::uint64_t run_id, const run& r,
+                                  const target_result& result, bool moved) {
+  if (result.end == exchange_end::answered && !moved) {
+    m_crash_detector.on_run_answered(run_id, m_clock.now);
+    const bool ran = !is_overload_answer(result) &&
+                     !m_options.protocol.is_not_run_answer(result);
+    if (ran) {
+      m_quarantine.on_completed(r.digest);
+    }
+    return;
+  }
+  const bool in_time = !r.cancelled && m_clock.now < r.deadline;
+  if (result.end == exchange_end::lost && in_time && !m_target_draining) {
+    m_crash_detector.on_run_lost(run_id, running_digests(), m_clock.now);
+  } else {
+    m_crash_detector.on_run_stopped(run_id, m_clock.now);
+  }
+  const bool refused =
+      result.end == exchange_end::not_connected && !r.cancelled;
+  if (moved || refused) {
+    m_crash_detector.on_instance_ended(m_clock.now);
+  }
 }
 
 void target_stage::update_notices(const run& r, const target_result& result) {
