--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -20,9 +20,10 @@
 constexpr std::chrono::milliseconds starting_retry_after{500};
 constexpr std::chrono::milliseconds draining_retry_after{200};
 
-std::uint64_t digest_of(const routed_request& r) {
+/// The same for all keys of a team, which may change between two attempts.
+std::uint64_t digest_of(const routed_request& r, const std::string& team) {
   std::string text = r.method + " " + r.host + r.path + "\n";
-  text += r.api_key.value_or("") + "\n";
+  text += team + "\n";
   text.append(r.body.begin(), r.body.end());
   return digest64(text);
 }
@@ -78,7 +79,7 @@
   if (e->request.connection != 0) {
     m_by_connection[e->request.connection] = e;
   }
-  e->digest = digest_of(e->request);
+  e->digest = digest_of(e->request, e->team);
   if (m_dependencies.crash_quarantine.is_quarantined(e->digest, m_clock.now)) {
     finish(e, refusal(reason::quarantined));
     return;
@@ -135,6 +136,11 @@
   const std::shared_ptr<dispatch_job> job = std::make_shared<dispatch_job>();
   job->request = make_call(*e, *route, team);
   job->deadline = e->deadline;
+  job->check_before_send = [this, digest = e->digest] {
+    return m_dependencies.crash_quarantine.is_quarantined(digest, m_clock.now)
+               ? reason::quarantined
+               : reason::none;
+  };
   job->max_targets = std::max<std::uint32_t>(1, route->max_targets);
   job->on_retry = [this, key = team_route_key{e->team, e->route_name}](
                       reason retry_reason) {
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -84,7 +84,7 @@
     /// Presumed to be a nested call made by the local target: if there are
     /// teams, callers other than targets have a key.
     bool nested = false;
-    std::uint64_t digest = 0; ///< of method, host, path, key and body
+    std::uint64_t digest = 0; ///< of method, host, path, team and body
     bool took_quota_token = false;
     bool caller_disconnected = false;
     instant arrived_at{0};
