--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -24,7 +24,7 @@
 constexpr duration max_row_write_delay = std::chrono::seconds(2);
 constexpr std::size_t updates_per_gossip = 8;
 constexpr std::size_t samples_on_digest_mismatch = 16;
-constexpr std::size_t suspects_per_gossip = 4;
+constexpr std::size_t crashes_per_gossip = 4;
 constexpr std::size_t state_change_fanout = 8;
 
 } // namespace
@@ -131,7 +131,7 @@
 }
 
 void gossip_agent::gossip_to(const std::string& node, bool answer_wanted,
-                             std::size_t samples) {
+                             std::size_t samples, std::uint64_t known_crashes) {
   wire::gossipT g;
   g.members = m_dependencies.members.recent_updates(updates_per_gossip);
   if (samples > 0) {
@@ -140,16 +140,18 @@
       g.members.push_back(std::move(it));
     }
   }
-  for (const quarantine::entry& it :
-       m_dependencies.crash_quarantine.entries_to_gossip(suspects_per_gossip,
-                                                         m_clock.now)) {
-    std::unique_ptr<wire::suspectT> s = std::make_unique<wire::suspectT>();
-    s->digest = it.digest;
-    s->crashes = it.crashes;
-    s->expires_in_ms = static_cast<std::uint32_t>((it.expires - m_clock.now) /
+  quarantine& crashes = m_dependencies.crash_quarantine;
+  for (crash_record& it : crashes.records_to_gossip(
+           crashes_per_gossip, known_crashes, m_clock.now)) {
+    std::unique_ptr<wire::crashT> r = std::make_unique<wire::crashT>();
+    r->id = it.id;
+    r->digests = std::move(it.digests);
+    r->conclusive = it.conclusive;
+    r->expires_in_ms = static_cast<std::uint32_t>((it.expires - m_clock.now) /
                                                   std::chrono::milliseconds(1));
-    g.suspects.push_back(std::move(s));
+    g.crashes.push_back(std::move(r));
   }
+  g.crashes_hash = crashes.records_hash();
   m_dependencies.fill_gossip(g);
   g.member_digest = m_dependencies.members.digest();
   g.answer_wanted = answer_wanted;
@@ -163,24 +165,36 @@
     m_dependencies.members.merge(*it, m_clock.now);
   }
   m_dependencies.members.on_message_received(from, m_clock.now);
-  for (const std::unique_ptr<wire::suspectT>& it : m.suspects) {
-    const bool learned = m_dependencies.crash_quarantine.merge(
-        it->digest, it->crashes, std::chrono::milliseconds(it->expires_in_ms),
-        m_clock.now);
-    if (learned) {
-      m_dependencies.log(event_id::crash_learned,
-                         {{"digest", std::to_string(it->digest)},
-                          {"crashes", std::to_string(it->crashes)},
-                          {"from", from}});
-    }
-  }
+  merge_crashes(from, m);
   m_dependencies.on_peer_gossip(from, m);
   if (m.answer_wanted) {
     const bool differs = m.member_digest != m_dependencies.members.digest();
-    gossip_to(from, false, differs ? samples_on_digest_mismatch : 0);
+    gossip_to(from, false, differs ? samples_on_digest_mismatch : 0,
+              m.crashes_hash);
+  }
+}
+
+void gossip_agent::merge_crashes(const std::string& from,
+                                 const wire::gossipT& m) {
+  for (const std::unique_ptr<wire::crashT>& it : m.crashes) {
+    crash_record r;
+    r.id = it->id;
+    r.digests = it->digests;
+    r.conclusive = it->conclusive;
+    r.expires = m_clock.now + std::chrono::milliseconds(it->expires_in_ms);
+    if (m_dependencies.crash_quarantine.merge(std::move(r), m_clock.now)) {
+      m_dependencies.log(event_id::crash_learned,
+                         {{"crash", std::to_string(it->id)}, {"from", from}});
+    }
   }
 }
 
+void gossip_agent::gossip_to(const std::string& node, bool answer_wanted,
+                             std::size_t samples) {
+  gossip_to(node, answer_wanted, samples,
+            m_dependencies.crash_quarantine.records_hash());
+}
+
 void gossip_agent::add_seed(const std::string& node,
                             const std::string& address) {
   wire::memberT m;
@@ -215,6 +229,10 @@
       [&service](wire::memberT& m) { m.service = service; }, m_clock.now);
 }
 
+void gossip_agent::on_crash_recorded() {
+  gossip_to_random(state_change_fanout);
+}
+
 void gossip_agent::gossip_to_random(std::size_t max_count) {
   for (const std::string& to :
        m_dependencies.members.random_peers("", max_count)) {
--- a/src/kingcupslip/core/gossip_agent.hpp
+++ b/src/kingcupslip/core/gossip_agent.hpp
@@ -54,6 +54,9 @@
   /// writes it again.
   void on_table_restored();
 
+  /// Gossips a crash of this node's target at once.
+  void on_crash_recorded();
+
   /// Gossips immediately to up to `max_count` random members.
   void gossip_to_random(std::size_t max_count);
 
@@ -69,6 +72,10 @@
   void join();
   void gossip_to(const std::string& node, bool answer_wanted,
                  std::size_t samples);
+  /// `known_crashes`: the hash of the crash records that the other node has.
+  void gossip_to(const std::string& node, bool answer_wanted,
+                 std::size_t samples, std::uint64_t known_crashes);
+  void merge_crashes(const std::string& from, const wire::gossipT& m);
   void probe_dead_member();
   void log_member_changes();
   void write_member_row();
--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -48,6 +48,7 @@
       {event_id::table_history_lost, "table_history_lost",
        event_level::warning},
       {event_id::config_outdated, "config_outdated", event_level::warning},
+      {event_id::row_unreadable, "row_unreadable", event_level::warning},
       {event_id::lease_lost, "lease_lost", event_level::warning},
       {event_id::slots_changed, "slots_changed", event_level::info},
       {event_id::admin_refused, "admin_refused", event_level::warning},
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -52,6 +52,7 @@
   table_restored = 407,
   table_history_lost = 408,
   config_outdated = 409,
+  row_unreadable = 410,
   lease_lost = 500,
   slots_changed = 501,
   admin_refused = 600,
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -38,6 +38,7 @@
 
 node::node(node_options options, node_hooks hooks)
     : m_options(std::move(options)), m_hooks(std::move(hooks)),
+      m_quarantine(m_options.self.node),
       m_members(m_options.self, m_hooks.random),
       m_sync(m_config, m_members, m_hooks.table, m_hooks.send, m_hooks.random),
       m_lease(m_options.self, m_hooks.table),
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -42,6 +42,7 @@
 
 routed_node::routed_node(routed_options options, routed_hooks hooks)
     : m_options(std::move(options)), m_hooks(std::move(hooks)),
+      m_quarantine(m_options.self.node),
       m_members(m_options.self, m_hooks.random),
       m_gossip({m_options.self, m_members, m_quarantine, m_hooks.table,
                 m_hooks.send, m_hooks.random, m_hooks.log,
@@ -50,6 +51,8 @@
                   m_state.on_gossip(from, g);
                 }},
                m_clock),
+      m_crash_records({m_hooks.table, m_quarantine, m_members, m_hooks.log},
+                      m_clock),
       m_state(m_hooks.watch, m_hooks.send, m_hooks.random, m_hooks.log,
               m_clock),
       m_calls(m_hooks.random() & correlation_prefix_mask),
@@ -77,12 +80,20 @@
           },
           m_local_target, m_hooks.send, m_clock) {
   m_state.set_on_change([this] { apply_desired_state(); });
-  m_state.set_on_store_restored([this] { m_gossip.on_table_restored(); });
+  m_state.set_on_store_restored([this] {
+    m_gossip.on_table_restored();
+    m_crash_records.on_table_restored();
+  });
+  m_quarantine.set_on_record([this](const crash_record& r) {
+    m_crash_records.write(r);
+    m_gossip.on_crash_recorded();
+  });
   m_local_target.set_cold_start(std::nullopt);
 }
 
 void routed_node::tick() {
   m_gossip.tick();
+  m_crash_records.tick();
   m_state.tick();
   update_retry_budget();
   m_quota.tick(m_clock.now);
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -3,6 +3,7 @@
 #ifndef KINGCUPSLIP_CORE_ROUTED_NODE_HPP
 #define KINGCUPSLIP_CORE_ROUTED_NODE_HPP
 
+#include "kingcupslip/core/crash_record_store.hpp"
 #include "kingcupslip/core/gossip_agent.hpp"
 #include "kingcupslip/core/incoming_calls.hpp"
 #include "kingcupslip/core/routed_entry.hpp"
@@ -107,6 +108,7 @@
   quarantine m_quarantine;
   member_table m_members;
   gossip_agent m_gossip;
+  crash_record_store m_crash_records;
   desired_state m_state;
   pending_calls m_calls;
   target_stage m_local_target;
