Retry budget: a process does not start with all of its retries (BUDGET)

Cause: each process began with its share of the retries that all nodes may send in ten seconds, so a node that restarted within them spent it again.

Evidence: routed_node.retries_stay_within_their_budget_while_nodes_restart, 186 retries before, 86 allowed; it passes now. The share is now released over the window in which it is counted, from the start of the process on. Ruled out: the buckets of teams and of cold targets, which begin empty.

--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -65,6 +65,9 @@
 }
 
 void dispatcher::tick() {
+  if (!m_started_at) {
+    m_started_at = m_clock.now;
+  }
   while (!m_delayed_retries.empty() &&
          m_delayed_retries.begin()->first <= m_clock.now) {
     const std::shared_ptr<dispatch_job> job = m_delayed_retries.begin()->second;
@@ -270,7 +273,9 @@
 }
 
 retry_budget& dispatcher::retry_budget_for(const std::string& service) {
-  return m_retry_budgets.try_emplace(service, m_options.retry_options)
+  return m_retry_budgets
+      .try_emplace(service, m_options.retry_options,
+                   m_started_at.value_or(m_clock.now))
       .first->second;
 }
 
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -122,6 +122,7 @@
   target_stage& m_local_target;
   message_sender m_send;
   member_table::random_source m_random;
+  std::optional<instant> m_started_at; ///< the first tick
   std::map<std::string, retry_budget> m_retry_budgets;
   std::multimap<instant, std::shared_ptr<dispatch_job>> m_delayed_retries;
 };
--- a/src/kingcupslip/core/retry_budget.cpp
+++ b/src/kingcupslip/core/retry_budget.cpp
@@ -21,6 +21,24 @@
   m_tokens = std::min(m_tokens, m_options.max_tokens);
 }
 
+retry_budget::retry_budget(options o, instant process_start)
+    : m_options(o), m_process_start(process_start),
+      m_tokens(o.release_time == duration(0) ? o.max_tokens : 0),
+      m_released_part(o.release_time == duration(0) ? 1 : 0) {}
+
+void retry_budget::release(instant now) {
+  if (m_released_part >= 1) {
+    return;
+  }
+  const double elapsed = static_cast<double>((now - m_process_start).count());
+  const double all = static_cast<double>(m_options.release_time.count());
+  const double part = elapsed >= all ? 1 : elapsed / all;
+  m_tokens =
+      std::min(m_options.max_tokens,
+               m_tokens + m_options.max_tokens * (part - m_released_part));
+  m_released_part = part;
+}
+
 void retry_budget::on_first_attempt() {
   m_tokens = std::min(m_options.max_tokens,
                       m_tokens + m_options.tokens_per_first_attempt);
@@ -33,6 +51,7 @@
 }
 
 bool retry_budget::spend(instant now) {
+  release(now);
   if (m_tokens < 1 || is_overloaded(now)) {
     return false;
   }
--- a/src/kingcupslip/core/retry_budget.hpp
+++ b/src/kingcupslip/core/retry_budget.hpp
@@ -17,10 +17,14 @@
   struct options {
     double tokens_per_first_attempt = 0.1;
     double max_tokens = 10;
+    /// How long after the start of the process the tokens that it starts with
+    /// take to become available. A process that restarts within this time does
+    /// not spend them twice.
+    duration release_time{0};
   };
 
-  retry_budget() : retry_budget(options{}) {}
-  explicit retry_budget(options o) : m_options(o), m_tokens(o.max_tokens) {}
+  retry_budget() : retry_budget(options{}, instant(0)) {}
+  retry_budget(options o, instant process_start);
 
   /// Applies new options. They change with the size of the fleet, over which
   /// the allowance of tokens is split.
@@ -37,9 +41,12 @@
 
 private:
   void decay(instant now);
+  void release(instant now);
 
   options m_options;
+  instant m_process_start;
   double m_tokens;
+  double m_released_part; ///< of the tokens to start with; at most 1
   double m_attempts = 0;
   double m_overloaded = 0;
   instant m_decayed_at{0};
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -26,6 +26,8 @@
 /// A retry repeats its nested calls, which also count as retries: one level per
 /// service on the path.
 constexpr double retry_levels = 4;
+/// Over which the retries of all nodes are bounded.
+constexpr duration retry_window = std::chrono::seconds(10);
 
 target_options target_options_for(const routed_options& o,
                                   const target_protocol& protocol) {
@@ -284,6 +286,7 @@
   o.tokens_per_first_attempt = m_options.retry_part / retry_levels;
   o.max_tokens =
       std::max(1.0, m_options.retry_slack / 2 / static_cast<double>(n));
+  o.release_time = retry_window;
   m_dispatcher.set_retry_options(o);
 }
 
