Member rows and announcements that no node or target can have written are passed over

But a row that named a node of the fleet with a number near the largest took that node's place for ever, one without a usable address counted as a member, and a check-in or a goodbye with a start time in the far future made all later ones of the target look outdated.

Change: a member row needs its own key, a host and a port, and a start that a clock can have read; announcements need the last. What is passed over is logged with its key.

--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -6,7 +6,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -27,6 +29,43 @@
 constexpr std::size_t crashes_per_gossip = 4;
 constexpr std::size_t state_change_fanout = 8;
 
+std::string member_row_key(const std::string& data_centre,
+                           const std::string& node) {
+  return std::string(member_prefix) + data_centre + "/" + node;
+}
+
+/// Whether the text ends with a colon and a port, after a host.
+bool is_address(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) {
+    return false;
+  }
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const std::from_chars_result r =
+      std::from_chars(text.data() + colon + 1, end, port);
+  return r.ec == std::errc() && r.ptr == end && port != 0;
+}
+
+/// Null if no node can have written the row.
+std::optional<wire::memberT> decode_member_row(const table_row& row,
+                                               const clock_reading& clock) {
+  const json value = json::parse(row.value, nullptr, false);
+  wire::memberT m;
+  m.node = text_field(value, "node");
+  m.data_centre = text_field(value, "data_centre");
+  m.address = text_field(value, "address");
+  m.admin_url = text_field(value, "admin_url");
+  m.service = text_field(value, "service");
+  m.incarnation = unsigned_field(value, "incarnation");
+  const wall_time latest_start = clock.wall + max_clock_difference;
+  const bool credible =
+      !m.node.empty() && is_address(m.address) &&
+      row.key == member_row_key(m.data_centre, m.node) &&
+      m.incarnation <= static_cast<std::uint64_t>(latest_start.count());
+  return credible ? std::optional<wire::memberT>(m) : std::nullopt;
+}
+
 } // namespace
 
 gossip_agent::gossip_agent(dependencies d, const clock_reading& clock)
@@ -75,16 +114,11 @@
         }
         m_joined = m_row_written;
         for (const table_row& it : rows) {
-          const json value = json::parse(it.value, nullptr, false);
-          wire::memberT m;
-          m.node = text_field(value, "node");
-          m.data_centre = text_field(value, "data_centre");
-          m.address = text_field(value, "address");
-          m.admin_url = text_field(value, "admin_url");
-          m.service = text_field(value, "service");
-          m.incarnation = unsigned_field(value, "incarnation");
-          if (!m.node.empty()) {
-            m_dependencies.members.merge(m, m_clock.now);
+          const std::optional<wire::memberT> m = decode_member_row(it, m_clock);
+          if (m) {
+            m_dependencies.members.merge(*m, m_clock.now);
+          } else {
+            m_dependencies.log(event_id::row_unreadable, {{"key", it.key}});
           }
         }
         for (const std::string& to :
@@ -94,9 +128,9 @@
       });
 }
 
-std::string gossip_agent::member_row_key() const {
-  return std::string(member_prefix) + m_dependencies.self.data_centre + "/" +
-         m_dependencies.self.node;
+std::string gossip_agent::own_row_key() const {
+  return member_row_key(m_dependencies.self.data_centre,
+                        m_dependencies.self.node);
 }
 
 void gossip_agent::write_member_row() {
@@ -108,7 +142,7 @@
            {"service", m_dependencies.self.service},
            {"incarnation", m_dependencies.self.incarnation}}
           .dump();
-  const std::string key = member_row_key();
+  const std::string key = own_row_key();
   m_dependencies.table.read(
       {key, "", 1}, [this, key, value](table_status status,
                                        const std::vector<table_row>& rows) {
@@ -251,7 +285,7 @@
   gossip_to_random(state_change_fanout);
   if (m_row_written) {
     m_dependencies.table.commit(
-        {{member_row_key(), m_member_row_version, std::nullopt, false}},
+        {{own_row_key(), m_member_row_version, std::nullopt, false}},
         [](table_status, std::uint64_t) {});
   }
 }
--- a/src/kingcupslip/core/gossip_agent.hpp
+++ b/src/kingcupslip/core/gossip_agent.hpp
@@ -79,7 +79,7 @@
   void probe_dead_member();
   void log_member_changes();
   void write_member_row();
-  std::string member_row_key() const;
+  std::string own_row_key() const;
 
   dependencies m_dependencies;
   const clock_reading& m_clock;
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -152,7 +152,7 @@
 }
 
 void target_stage::on_announce(const target_announcement& a) {
-  if (is_outdated(a)) {
+  if (!is_credible_start(a.instance, a.start_time_ms) || is_outdated(a)) {
     return;
   }
   const bool new_instance =
@@ -181,6 +181,9 @@
 
 void target_stage::on_deregister(const std::string& instance,
                                  std::uint64_t start_time_ms) {
+  if (!is_credible_start(instance, start_time_ms)) {
+    return;
+  }
   const bool start_time_known = start_time_ms != 0;
   const bool is_current_instance = instance == m_instance;
   m_left_instance = instance;
@@ -199,6 +202,19 @@
   }
 }
 
+bool target_stage::is_credible_start(const std::string& instance,
+                                     std::uint64_t start_time_ms) const {
+  const wall_time latest = m_clock.wall + max_clock_difference;
+  if (start_time_ms <= static_cast<std::uint64_t>(latest.count())) {
+    return true;
+  }
+  // All later announcements of the target would look older.
+  m_hooks.log(event_id::announcement_ignored,
+              {{"instance", instance},
+               {"start_time_ms", std::to_string(start_time_ms)}});
+  return false;
+}
+
 bool target_stage::is_outdated(const target_announcement& a) const {
   const bool has_left =
       a.instance == m_left_instance && a.start_time_ms <= m_left_start_time_ms;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -274,6 +274,9 @@
   /// or before the process has to exit.
   void shed_unfinishable();
   bool is_outdated(const target_announcement& a) const;
+  /// Whether an instance can have started at this time.
+  bool is_credible_start(const std::string& instance,
+                         std::uint64_t start_time_ms) const;
   void update_cold_start(const target_announcement& a, bool new_instance);
   /// Logs that the target is cold, if it was not before. `source` says how this
   /// node knows.
--- a/src/kingcupslip/core/time.hpp
+++ b/src/kingcupslip/core/time.hpp
@@ -17,6 +17,10 @@
 /// A reading of the wall clock: milliseconds since the Unix epoch.
 using wall_time = std::chrono::milliseconds;
 
+/// A time that is further in the future than this was not read from any clock
+/// of the fleet.
+constexpr wall_time max_clock_difference = std::chrono::hours(24);
+
 /// Both clocks, read together when an event enters the core.
 struct clock_reading {
   instant now{0};
--- a/tests/core/foreign_rows_test.cpp
+++ b/tests/core/foreign_rows_test.cpp
@@ -99,6 +99,22 @@
   LONGS_EQUAL(4, f.at("a1").members().usable().size());
 }
 
+TEST(foreign_rows, a_member_row_with_a_port_out_of_range_is_no_member) {
+  routed_fleet f(11);
+  std::uint64_t version = 0;
+  for (const char* port : {"65536", "-1", "0", "99999999999999999999", "80x"}) {
+    const std::string node = std::string("x") + port;
+    f.row_store.commit({{"member/dc-a/" + node, 0,
+                         R"({"node":")" + node +
+                             R"(","data_centre":"dc-a","address":"127.0.0.1:)" +
+                             port + R"(","service":"svc","incarnation":1})",
+                         false}},
+                       version);
+  }
+  build_routed_fleet(f, 1);
+  LONGS_EQUAL(2, f.at("a1").members().usable().size());
+}
+
 // An announcement with a start time near the largest number made every later
 // one of the target look outdated, and the target was lost.
 TEST(foreign_rows, an_announcement_with_too_large_a_start_time_is_ignored) {
@@ -111,6 +127,7 @@
   odd.service = "svc";
   odd.max_concurrency = 10;
   f.at("a1").on_target_announce(odd);
+  f.at("a1").on_target_leave("a1-1", odd.start_time_ms);
   f.run_for(seconds(10));
   f.kill("b1");
   f.run_for(seconds(1));
--- a/tests/support/routed_fleet.cpp
+++ b/tests/support/routed_fleet.cpp
@@ -60,7 +60,7 @@
   o.self.node = m.name;
   o.self.data_centre = m.data_centre;
   o.self.service = m.service;
-  o.self.address = m.name;
+  o.self.address = m.name + ":1";
   o.self.incarnation = static_cast<std::uint64_t>(clocks().wall.count());
   m.running_node = std::make_unique<routed_node>(o, hooks_for(m));
   m.running_node->set_clock(clocks());
--- a/tests/support/virtual_fleet.cpp
+++ b/tests/support/virtual_fleet.cpp
@@ -63,7 +63,7 @@
   o.self.node = m.name;
   o.self.data_centre = m.data_centre;
   o.self.service = m.service;
-  o.self.address = m.name;
+  o.self.address = m.name + ":1";
   o.self.incarnation = static_cast<std::uint64_t>(clocks().wall.count());
   o.fleet_secret = "secret-of-the-fleet";
   o.dispatch = m.dispatch;
