--- a/src/kingcupslip/core/crash_record_store.cpp
+++ b/src/kingcupslip/core/crash_record_store.cpp
@@ -2,6 +2,7 @@
 #include "kingcupslip/core/crash_record_store.hpp"
 
 #include "kingcupslip/core/json_field.hpp"
+#include "kingcupslip/core/text.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -42,6 +43,9 @@
 /// Null if the row is no crash record. An expired one is returned too.
 std::optional<crash_record> decode(const table_row& row,
                                    const clock_reading& clock) {
+  if (!starts_with(row.key, crash_prefix)) {
+    return std::nullopt;
+  }
   const json value = json::parse(row.value, nullptr, false);
   const json::const_iterator digests = value.find("digests");
   const std::string_view digits =
--- a/tests/core/foreign_rows_test.cpp
+++ b/tests/core/foreign_rows_test.cpp
@@ -2,6 +2,7 @@
 // object at all, as another writer may leave them.
 #include "kingcupslip/core/config_rows.hpp"
 #include "kingcupslip/core/configuration.hpp"
+#include "kingcupslip/core/crash_record_store.hpp"
 #include "kingcupslip/core/lease.hpp"
 #include "kingcupslip/core/request_counters.hpp"
 #include "kingcupslip/core/share_row.hpp"
@@ -99,6 +100,41 @@
   LONGS_EQUAL(4, f.at("a1").members().usable().size());
 }
 
+// A store that answers with other rows than were asked for ended the process.
+TEST(foreign_rows, a_crash_row_of_another_type_is_passed_over) {
+  std::vector<table_row> rows;
+  for (const char* key :
+       {"crash/7", "crash/", "crash/x", "", "c", "member/a"}) {
+    for (const std::string& value :
+         with_each_type(R"({"digests":?,"conclusive":?,"crashed_at_ms":?})")) {
+      rows.push_back({key, value, 1});
+    }
+    for (const std::string& value :
+         with_each_type(R"({"digests":[?],"crashed_at_ms":?})")) {
+      rows.push_back({key, value, 1});
+    }
+  }
+  table_hooks table;
+  table.read = [&rows](const table_query&, const read_handler& handler) {
+    handler(table_status::ok, rows);
+  };
+  table.commit = [](const table_transaction&, const commit_handler& handler) {
+    handler(table_status::ok, 1);
+  };
+  clock_reading clock{seconds(5), std::chrono::hours(1'000'000)};
+  std::size_t unreadable = 0;
+  quarantine q;
+  member_table members(node_identity{}, [] { return 0; });
+  crash_record_store s({table, q, members,
+                        [&unreadable](event_id id, const event_fields&) {
+                          unreadable += id == event_id::row_unreadable ? 1 : 0;
+                        }},
+                       clock);
+  s.tick();
+  CHECK_COMPARE(unreadable, >, rows.size() / 2);
+  LONGS_EQUAL(0, q.size());
+}
+
 TEST(foreign_rows, a_member_row_with_a_port_out_of_range_is_no_member) {
   routed_fleet f(11);
   std::uint64_t version = 0;
