--- a/tests/net/http_client_test.cpp
+++ b/tests/net/http_client_test.cpp
@@ -6,6 +6,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <functional>
+#include <optional>
 #include <vector>
 
 using namespace kingcupslip;
@@ -169,3 +174,51 @@
   s.run_for(milliseconds(400));
   CHECK_FALSE(completed);
 }
+
+// A target that took nothing of a long request for some seconds, and then all
+// of it, lost the request.
+TEST(http_client, a_long_request_outlasts_a_target_that_reads_nothing_for_5_s) {
+  namespace asio = boost::asio;
+  using tcp = asio::ip::tcp;
+  io_loop loop;
+  tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+  tcp::socket socket(loop);
+  asio::steady_timer timer(loop);
+  const std::size_t body_size = 8'000'000;
+  body_bytes buf(65'536);
+  std::size_t received = 0;
+  const std::string answer = "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n";
+  std::function<void()> read_all;
+  read_all = [&] {
+    socket.async_read_some(
+        asio::buffer(buf),
+        [&](const boost::system::error_code& ec, std::size_t n) {
+          received += n;
+          if (!ec && received < body_size) {
+            read_all();
+          } else if (!ec) {
+            asio::write(socket, asio::buffer(answer));
+          }
+        });
+  };
+  acceptor.async_accept(socket, [&](const boost::system::error_code&) {
+    timer.expires_after(milliseconds(5500));
+    timer.async_wait([&](const boost::system::error_code&) { read_all(); });
+  });
+  http_client client{
+      loop,
+      {asio::ip::address_v4::loopback(), acceptor.local_endpoint().port()}};
+  target_request r;
+  r.method = "POST";
+  r.path = "/";
+  r.time_left = milliseconds(9000);
+  r.body.assign(body_size, 'a');
+  std::optional<exchange_end> end;
+  client.send(1, std::move(r), [&end](const target_result& t) { end = t.end; });
+  const instant give_up = read_clocks().now + milliseconds(9500);
+  while (!end && read_clocks().now < give_up) {
+    loop.run_for(milliseconds(10));
+  }
+  CHECK(end && *end == exchange_end::answered);
+}
--- a/tests/net/peer_network_test.cpp
+++ b/tests/net/peer_network_test.cpp
@@ -170,3 +170,53 @@
     LONGS_EQUAL(correlation, unsent.size());
   }
 }
+
+// Two nodes had a connection each to the other; when an idle one closed, the
+// calls that ran on the other one failed.
+TEST(peer_network, a_connection_that_closes_fails_no_call_on_another_one) {
+  io_loop loop;
+  std::uint16_t port_of_b = 0;
+  std::uint16_t port_to_a = 0;
+  std::size_t calls = 0;
+  std::size_t lost = 0;
+  peer_hooks hooks_of_a;
+  hooks_of_a.on_message = [](const std::string&, const wire::payloadUnion&) {};
+  hooks_of_a.on_unsent = [](std::uint64_t) {};
+  hooks_of_a.on_connection_lost = [&lost](const std::string&) { ++lost; };
+  hooks_of_a.address_of = [&port_of_b](const std::string&) {
+    return "127.0.0.1:" + std::to_string(port_of_b);
+  };
+  hooks_of_a.log = [](event_id, const event_fields&) {};
+  peer_hooks hooks_of_b = hooks_of_a;
+  hooks_of_b.on_message = [&calls](const std::string&,
+                                   const wire::payloadUnion& body) {
+    calls += body.type == wire::payload::call ? 1 : 0;
+  };
+  hooks_of_b.on_connection_lost = [](const std::string&) {};
+  hooks_of_b.address_of = [&port_to_a](const std::string&) {
+    return "127.0.0.1:" + std::to_string(port_to_a);
+  };
+  peer_network a(loop, identity("a"), "the-secret-of-both", "127.0.0.1", 0,
+                 hooks_of_a);
+  peer_network b(loop, identity("b"), "the-secret-of-both", "127.0.0.1", 0,
+                 hooks_of_b);
+  silent_relay relay(loop, a.port());
+  port_of_b = b.port();
+  port_to_a = relay.port();
+  a.send("b", call_with(1));
+  b.send("a", call_with(2));
+  const auto run_for = [&loop](milliseconds span) {
+    const instant end = read_clocks().now + span;
+    while (read_clocks().now < end) {
+      loop.run_for(milliseconds(10));
+    }
+  };
+  run_for(milliseconds(300));
+  LONGS_EQUAL(1, calls);
+  relay.close_open_connections_after(0);
+  run_for(milliseconds(300));
+  LONGS_EQUAL(0, lost);
+  a.send("b", call_with(3));
+  run_for(milliseconds(100));
+  LONGS_EQUAL(2, calls);
+}
--- a/tests/net/stray_response_test.cpp
+++ b/tests/net/stray_response_test.cpp
@@ -249,6 +249,15 @@
   LONGS_EQUAL(1, x.client.connections_opened());
 }
 
+// A server that repeats no id wrote an earlier answer again, and it was taken
+// for that to a later request: a commit that had failed counted as done.
+TEST(stray_response, an_earlier_answer_without_ids_ends_no_later_request) {
+  scripted_exchanges x({{answer(200, {}, "one")},
+                        {answer(200, {}, "one"), answer(412, {}, "")}});
+  check_own_answer(x.send(""), "one");
+  LONGS_EQUAL(412, x.send("").status);
+}
+
 // Nothing in the logs told that an answer had been skipped.
 TEST(stray_response, a_skipped_answer_is_logged) {
   scripted_exchanges x(
