--- a/tests/core/target_rate_limit_test.cpp
+++ b/tests/core/target_rate_limit_test.cpp
@@ -264,6 +264,31 @@
   LONGS_EQUAL(0, starts_since(l.fleet.target("a1").started_at, since));
 }
 
+// A node that had acknowledged that its target leaves restarted, and took a
+// late announcement for that of a target in service.
+TEST(target_leaving, other_nodes_remember_a_goodbye_when_the_node_restarts) {
+  limited_fleet l(12);
+  const std::vector<std::string> others{"a2", "b1", "b2"};
+  routed_load load(l.fleet, others, "/safe/x", 200, seconds(14));
+  l.fleet.run_for(seconds(2));
+  l.fleet.announcing = false;
+  l.fleet.at("a1").on_target_leave("a1-1", 0);
+  l.fleet.run_for(milliseconds(200) + drain_time);
+  const instant since = l.fleet.time.now();
+  l.fleet.kill("a1");
+  l.fleet.run_for(milliseconds(300));
+  l.fleet.restart_node("a1");
+  target_announcement late;
+  late.instance = "a1-1";
+  late.start_time_ms = 1;
+  late.sequence = 1000;
+  late.service = "svc";
+  late.max_concurrency = 100;
+  l.fleet.at("a1").on_target_announce(late);
+  l.fleet.run_for(seconds(12));
+  LONGS_EQUAL(0, starts_since(l.fleet.target("a1").started_at, since));
+}
+
 TEST(target_leaving, a_new_instance_of_the_target_is_used) {
   limited_fleet l(11);
   l.fleet.target("a1").answer_headers = {{leaving_field, "1"}};
