--- a/tests/core/crashing_request_test.cpp
+++ b/tests/core/crashing_request_test.cpp
@@ -238,8 +238,8 @@
   f.run_for(seconds(3));
 }
 
-// Guards against messages between nodes that name only some of the requests that
-// ran at a crash, and not its cause.
+// Guards against messages between nodes that name only some of the requests
+// that ran at a crash, and not its cause.
 TEST(crashing_request, is_found_among_many_that_ran_beside_it) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     crashing_fleet f(seed, 8);
