Target notices: a goodbye is remembered by the other nodes

Cause: a departure that answers state travels with replies and calls; a goodbye was known to the process that acknowledged it only. Ruled out: holding announcements back until the node has joined, since a node that is cut off has to go on serving.

Change: a goodbye counts as a notice of the instance. The member record carries it to all nodes, which keep it over a restart of the member and return it in calls (as before) and in gossip, so that a node whose own callers are the first to send hears of it too.

--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -93,7 +93,7 @@
   if (m == nullptr) {
     return;
   }
-  if (reply.target_answered) {
+  if (reply.target_answered || reply.notice) {
     m->target_notice = reply.notice
                            ? std::optional<wire::target_noticeT>(*reply.notice)
                            : std::nullopt;
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -186,6 +186,11 @@
     g.crashes.push_back(std::move(r));
   }
   g.crashes_hash = crashes.records_hash();
+  const member* receiver = m_dependencies.members.find(node);
+  if (receiver != nullptr && receiver->target_notice) {
+    g.known_notice =
+        std::make_unique<wire::target_noticeT>(*receiver->target_notice);
+  }
   m_dependencies.fill_gossip(g);
   g.member_digest = m_dependencies.members.digest();
   g.answer_wanted = answer_wanted;
@@ -263,6 +268,21 @@
       [&service](wire::memberT& m) { m.service = service; }, m_clock.now);
 }
 
+void gossip_agent::set_departure(const wire::target_noticeT& n) {
+  const std::unique_ptr<wire::target_noticeT>& known =
+      m_dependencies.members.self().info.departure;
+  if (known && known->instance == n.instance &&
+      known->start_time_ms == n.start_time_ms) {
+    return;
+  }
+  m_dependencies.members.update_self(
+      [&n](wire::memberT& m) {
+        m.departure = std::make_unique<wire::target_noticeT>(n);
+      },
+      m_clock.now);
+  gossip_to_random(state_change_fanout);
+}
+
 void gossip_agent::on_crash_recorded() {
   gossip_to_random(state_change_fanout);
 }
--- a/src/kingcupslip/core/gossip_agent.hpp
+++ b/src/kingcupslip/core/gossip_agent.hpp
@@ -50,6 +50,10 @@
   /// Announces the service of this node's target.
   void set_service(const std::string& service);
 
+  /// Announces that an instance of this node's target leaves, so that the other
+  /// members remember it when this process restarts.
+  void set_departure(const wire::target_noticeT& n);
+
   /// The table was restored from an older copy, which may lack this node's row:
   /// writes it again.
   void on_table_restored();
--- a/src/kingcupslip/core/member_table.cpp
+++ b/src/kingcupslip/core/member_table.cpp
@@ -34,6 +34,13 @@
   return placement_hash(subject);
 }
 
+/// A later process of the member knows nothing of the departure.
+void remember_departure(member& m) {
+  if (m.info.departure) {
+    m.target_notice = *m.info.departure;
+  }
+}
+
 std::uint32_t retransmit_limit(std::size_t members) {
   std::uint32_t n = 3;
   while (members > 1) {
@@ -88,6 +95,7 @@
   if (it == m_members.end()) {
     member& m = m_members[update.node];
     m.info = update;
+    remember_departure(m);
     m.last_heard_at = now;
     m.state_since = now;
     queue_for_gossip(m);
@@ -102,6 +110,7 @@
   const bool state_changed = m.info.state != update.state;
   const bool restarted = update.incarnation != m.info.incarnation;
   m.info = update;
+  remember_departure(m);
   if (state_changed || restarted) {
     m.state_since = now;
     m.probes_missed = 0;
--- a/src/kingcupslip/core/member_table.hpp
+++ b/src/kingcupslip/core/member_table.hpp
@@ -35,8 +35,8 @@
   std::uint32_t failures = 0;
   instant excluded_until{0}; ///< gets no requests from this node until then
   bool unresponsive = false; ///< its connection currently delivers nothing
-  /// What its target stated about itself, from its replies. Survives a restart
-  /// of the member, which then knows nothing of it.
+  /// What its target stated about itself, from its replies and updates.
+  /// Survives a restart of the member, which then knows nothing of it.
   std::optional<wire::target_noticeT> target_notice;
   std::uint64_t config_sequence = 0; ///< from its last gossip
   instant last_failure_at{0};
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -133,6 +133,10 @@
     m_incoming_calls.on_cancel(from, *body.Ascancel());
     break;
   case wire::payload::gossip:
+    if (body.Asgossip()->known_notice) {
+      m_local_target.on_reported_notice(*body.Asgossip()->known_notice);
+      update_target_state();
+    }
     m_gossip.on_gossip(from, *body.Asgossip());
     break;
   case wire::payload::desired_state_pull:
@@ -253,6 +257,9 @@
   m_gossip.set_service(m_local_target.service());
   m_gossip.set_ready(m_local_target.ready(),
                      static_cast<double>(m_local_target.capacity()));
+  if (m_local_target.notices().leaving()) {
+    m_gossip.set_departure(*m_local_target.notices().to_report());
+  }
 }
 
 void routed_node::tick_drain() {
--- a/src/kingcupslip/core/target_notices.cpp
+++ b/src/kingcupslip/core/target_notices.cpp
@@ -12,6 +12,11 @@
   m_notice = target_notice{};
   m_answered = false;
   m_rate_limit.set(std::nullopt, now);
+  const std::optional<wire::target_noticeT> reported =
+      std::exchange(m_reported, std::nullopt);
+  if (reported) {
+    on_reported(*reported, now);
+  }
 }
 
 void target_notices::on_answer(const std::optional<target_notice>& stated,
@@ -30,8 +35,15 @@
   apply(n, request_id, now);
 }
 
+void target_notices::on_goodbye(instant now) {
+  target_notice n = m_notice;
+  n.leaving = true;
+  apply(n, "goodbye", now);
+}
+
 void target_notices::on_reported(const wire::target_noticeT& n, instant now) {
   if (n.instance != m_instance || n.start_time_ms != m_start_time_ms) {
+    m_reported = n;
     return;
   }
   target_notice reported = m_notice;
--- a/src/kingcupslip/core/target_notices.hpp
+++ b/src/kingcupslip/core/target_notices.hpp
@@ -26,15 +26,17 @@
   bool empty() const { return !rate_limit_per_s && !leaving; }
 };
 
-/// Keeps the notice of the target's current instance, from its answers and,
-/// until it has answered this process, from what other nodes remember of it.
+/// Keeps the notice of the target's current instance, from its answers, its
+/// goodbye and, until it has answered this process, from what other nodes
+/// remember of it.
 ///
 /// Invariant: the rate limit is active exactly while the notice has one.
 class target_notices {
 public:
   explicit target_notices(event_sink log) : m_log(std::move(log)) {}
 
-  /// A new instance has stated nothing.
+  /// A new instance has stated nothing, except for what other nodes reported
+  /// before it announced itself.
   void on_new_instance(const std::string& instance, std::uint64_t start_time_ms,
                        instant now);
 
@@ -43,9 +45,12 @@
   void on_answer(const std::optional<target_notice>& stated,
                  const std::string& request_id, instant now);
 
-  /// Applies what another node knows from replies of an earlier process of this
-  /// node. Ignored for another instance; a rate limit also once the instance
-  /// has answered this process.
+  /// The current instance has deregistered.
+  void on_goodbye(instant now);
+
+  /// Applies what another node knows from an earlier process of this node. A
+  /// rate limit is ignored once the instance has answered this process. A
+  /// notice of another instance is kept until that one announces itself.
   void on_reported(const wire::target_noticeT& n, instant now);
 
   const target_notice& current() const { return m_notice; }
@@ -67,6 +72,8 @@
   std::string m_instance;
   std::uint64_t m_start_time_ms = 0;
   target_notice m_notice;
+  /// Last reported of an instance that is not the current one.
+  std::optional<wire::target_noticeT> m_reported;
   target_rate_limit m_rate_limit;
   bool m_answered = false;
 };
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -197,8 +197,13 @@
   if (instance == m_instance &&
       (!start_time_known || start_time_ms == m_start_time_ms)) {
     m_target_draining = true;
+    m_notices.on_goodbye(m_clock.now);
     m_crash_detector.on_planned_end();
     stop_sending();
+  } else if (m_instance.empty()) {
+    // Announced to an earlier process of this node.
+    m_notices.on_new_instance(instance, m_left_start_time_ms, m_clock.now);
+    m_notices.on_goodbye(m_clock.now);
   }
 }
 
--- a/tests/core/target_rate_limit_test.cpp
+++ b/tests/core/target_rate_limit_test.cpp
@@ -289,6 +289,32 @@
   LONGS_EQUAL(0, starts_since(l.fleet.target("a1").started_at, since));
 }
 
+// Without calls from other nodes nothing told a restarted node that its target
+// had left, and its own callers used the target.
+TEST(target_leaving, a_goodbye_is_remembered_by_nodes_that_send_no_requests) {
+  limited_fleet l(13);
+  l.fleet.run_for(seconds(2));
+  l.fleet.announcing = false;
+  l.fleet.at("a1").on_target_leave("a1-1", 0);
+  l.fleet.run_for(drain_time);
+  l.fleet.kill("a1");
+  l.fleet.run_for(milliseconds(300));
+  l.fleet.restart_node("a1");
+  target_announcement late;
+  late.instance = "a1-1";
+  late.start_time_ms = 1;
+  late.sequence = 1000;
+  late.service = "svc";
+  late.max_concurrency = 100;
+  l.fleet.at("a1").on_target_announce(late);
+  l.fleet.run_for(seconds(2));
+  const instant since = l.fleet.time.now();
+  routed_load load(l.fleet, {"a1"}, "/safe/x", 50, seconds(3));
+  l.fleet.run_for(seconds(4));
+  CHECK(load.ran > 0);
+  LONGS_EQUAL(0, starts_since(l.fleet.target("a1").started_at, since));
+}
+
 TEST(target_leaving, a_new_instance_of_the_target_is_used) {
   limited_fleet l(11);
   l.fleet.target("a1").answer_headers = {{leaving_field, "1"}};
