HTTP client: long bodies outlast a stalled target; answers without ids

A target that took nothing of a long request for 5.5 s lost it after 4.3 s: TCP_USER_TIMEOUT counts a closed window. It now does not apply while a body of over 16 KiB is written; the deadline bounds such a request. Shorter bodies fit any receive buffer, so silent connections are found as before. Ruled out: TCP_INFO polled for the last acknowledgement, whose probes back off beyond 4 s.

A server that repeats no id wrote an earlier answer again, late, on a connection in use, and it ended the next request: a commit that had failed counted as done. The product's own targets may repeat Kingcupslip-Request-Id, which they get; one that does not gets a new connection for each request.

The test an_earlier_answer_without_ids_ends_no_later_request is replaced: its server wrote the copy in front of the answer on whatever connection the request came, also one on which the copy's request never was, which no client without ids can tell. It now writes the copy where the answer went, late, as operators reported, and checks the same: the second call ends with 412. Three tests beside it.

--- a/src/kingcupslip/core/header_names.cpp
+++ b/src/kingcupslip/core/header_names.cpp
@@ -46,6 +46,14 @@
   return h == nullptr ? std::string_view() : std::string_view(h->value);
 }
 
+void remove_header(std::vector<header>& headers, std::string_view name) {
+  const auto named = [name](const header& h) {
+    return same_header_name(h.name, name);
+  };
+  headers.erase(std::remove_if(headers.begin(), headers.end(), named),
+                headers.end());
+}
+
 bool is_hop_by_hop(std::string_view name) {
   return std::any_of(
       hop_by_hop_headers.begin(), hop_by_hop_headers.end(),
--- a/src/kingcupslip/core/header_names.hpp
+++ b/src/kingcupslip/core/header_names.hpp
@@ -31,6 +31,8 @@
 /// none.
 std::string_view header_value(const std::vector<header>& headers,
                               std::string_view name);
+/// Removes all headers with the name.
+void remove_header(std::vector<header>& headers, std::string_view name);
 
 /// Whether a field applies to a single connection only. This includes
 /// `Host` and `Content-Length`, which are set anew for each connection.
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -516,8 +516,10 @@
                          sign_context(context, m_options.fleet_secret)});
   out.headers.push_back(
       {std::string(header_names::timeout_ms), std::to_string(left_ms.count())});
-  out.headers.push_back(
-      {std::string(header_names::request_id), std::to_string(span_id)});
+  out.echoed_header = {std::string(header_names::request_id),
+                       std::to_string(span_id)};
+  out.echo_required = false;
+  out.headers.push_back(out.echoed_header);
   if (!request.idempotency_key.empty()) {
     out.headers.push_back(
         {std::string(header_names::idempotency_key), request.idempotency_key});
@@ -618,6 +620,10 @@
   out.execution = verdict::ran;
   out.status = result.status;
   out.headers = std::move(result.headers);
+  if (!m_options.protocol.encode) {
+    // Between this node and the target only.
+    remove_header(out.headers, header_names::request_id);
+  }
   out.body = std::move(result.body);
   return out;
 }
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -34,10 +34,16 @@
   body_bytes body;
   /// Time limit of the exchange, including the answer.
   duration time_left{0};
-  /// An answer without this header field, or with another value, belongs to
-  /// another request or to none, and is skipped. Empty if targets do not repeat
-  /// a request id in their answers.
+  /// An answer with another value of this header field belongs to another
+  /// request and is skipped; so is one without the field, which belongs to no
+  /// request. Empty if no answer repeats a request id.
   header echoed_header;
+  /// False: the target may leave the field out of its answers. A connection
+  /// with such an answer carries no other request.
+  bool echo_required = true;
+  /// The request gets a connection of its own, on which no copy of an earlier
+  /// answer can arrive.
+  bool exclusive_connection = false;
 };
 
 /// How an HTTP exchange with a target ended.
--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t max_buffered_response_bytes = 32UL * 1024 * 1024;
 /// Interim responses and those to other requests that may precede a response.
 constexpr std::size_t max_skipped_responses = 16;
+/// Of a request, that any target takes into its receive buffer.
+constexpr std::size_t max_unread_body_bytes = 16UL * 1024;
 /// Of an id of another request, in the log.
 constexpr std::size_t max_logged_id_bytes = 64;
 
@@ -83,6 +85,8 @@
       m_request.set(http::field::host, client.m_endpoint.address().to_string());
     }
     m_correlation_header = std::move(request.echoed_header);
+    m_echo_required = request.echo_required;
+    m_exclusive_connection = request.exclusive_connection;
     m_request.body() = std::move(request.body);
     if (m_request.method() == http::verb::trace) {
       // prepare_payload() throws if such a request has a body.
@@ -104,7 +108,9 @@
         self->cancel();
       }
     });
-    m_socket = m_client.take_idle_connection();
+    if (!m_exclusive_connection) {
+      m_socket = m_client.take_idle_connection();
+    }
     if (m_socket) {
       m_reused = true;
       write();
@@ -142,6 +148,9 @@
       return;
     }
     m_written = true;
+    if (body_may_stall()) {
+      set_user_timeout(*m_socket, std::chrono::milliseconds(0));
+    }
     const std::shared_ptr<http_exchange> self = shared_from_this();
     http::async_write(*m_socket, m_request,
                       [self](const error_code& ec, std::size_t) {
@@ -225,8 +234,12 @@
           {std::string(it.name_string()), std::string(it.value())});
     }
     const bool reusable = response.keep_alive() && m_buffer.size() == 0 &&
-                          !m_got_stray_response && !m_write_failed;
+                          !m_got_stray_response && !m_write_failed &&
+                          !m_exclusive_connection && echoes_id(response);
     out.body = std::move(response.body().bytes);
+    if (reusable && body_may_stall()) {
+      set_user_timeout(*m_socket, default_user_timeout);
+    }
     if (reusable) {
       m_client.add_idle_connection(
           std::move(m_socket),
@@ -235,9 +248,24 @@
     finish(std::move(out));
   }
 
-  /// Whether the response repeats the id of the request and no other one. One
-  /// without an id may belong to any request, or to none.
+  /// A target may take its time to read a long body, and the user timeout would
+  /// end its connection meanwhile. Such a request has its deadline only.
+  bool body_may_stall() const {
+    return m_request.body().size() > max_unread_body_bytes;
+  }
+
+  /// Whether the response can be told from that to another request. One without
+  /// an id may belong to any request, or to none, unless it is the first on its
+  /// connection.
   bool answers_request(const http::response<bounded_body>& response) const {
+    const bool has_id = response.count(m_correlation_header.name) > 0;
+    const bool may_lack_id = !m_echo_required && !m_reused;
+    return echoes_id(response) || (!has_id && may_lack_id);
+  }
+
+  /// Whether the response repeats the id of the request and no other one, or no
+  /// id is expected.
+  bool echoes_id(const http::response<bounded_body>& response) const {
     if (m_correlation_header.name.empty()) {
       return true;
     }
@@ -321,6 +349,8 @@
   error_code m_read_error;
   header m_correlation_header;
   instant m_started_at{0};
+  bool m_echo_required = true;
+  bool m_exclusive_connection = false;
   bool m_got_stray_response = false;
   bool m_reused = false;
   bool m_written = false;
--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -101,7 +101,7 @@
         m_limits(limits), m_hooks(std::move(hooks)), m_state(std::move(state)),
         m_id(id), m_buffer(unparsed_heads * m_limits.max_header_bytes) {
     ++m_state->open_connections;
-    set_caller_socket_options(m_socket);
+    set_keepalive_options(m_socket);
   }
 
   http_session(const http_session&) = delete;
--- a/src/kingcupslip/net/socket_options.cpp
+++ b/src/kingcupslip/net/socket_options.cpp
@@ -12,7 +12,6 @@
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_probes = 3;
-constexpr int user_timeout_ms = 4000;
 
 void set_tcp_option(int fd, int name, int value) {
   setsockopt(fd, IPPROTO_TCP, name, &value, sizeof(value));
@@ -20,7 +19,7 @@
 
 } // namespace
 
-void set_caller_socket_options(boost::asio::ip::tcp::socket& socket) {
+void set_keepalive_options(boost::asio::ip::tcp::socket& socket) {
   boost::system::error_code ec;
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
   socket.set_option(boost::asio::socket_base::keep_alive(true), ec);
@@ -31,8 +30,14 @@
 }
 
 void set_socket_options(boost::asio::ip::tcp::socket& socket) {
-  set_caller_socket_options(socket);
-  set_tcp_option(socket.native_handle(), TCP_USER_TIMEOUT, user_timeout_ms);
+  set_keepalive_options(socket);
+  set_user_timeout(socket, default_user_timeout);
+}
+
+void set_user_timeout(boost::asio::ip::tcp::socket& socket,
+                      std::chrono::milliseconds timeout) {
+  set_tcp_option(socket.native_handle(), TCP_USER_TIMEOUT,
+                 static_cast<int>(timeout.count()));
 }
 
 } // namespace kingcupslip
--- a/tests/net/stray_response_test.cpp
+++ b/tests/net/stray_response_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -60,6 +61,10 @@
 
   tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
 
+  /// Whether the last answer is written once more, where it went, before the
+  /// next request is answered.
+  bool repeats_answers = false;
+
 private:
   struct connection {
     explicit connection(io_loop& loop) : socket(loop), timer(loop) {}
@@ -85,10 +90,20 @@
                                return;
                              }
                              c->request.consume(n);
+                             repeat_last_answer();
+                             m_last_connection = c;
                              write(c, m_answered++, 0);
                            });
   }
 
+  void repeat_last_answer() {
+    if (repeats_answers && m_last_connection) {
+      error_code ignored;
+      asio::write(m_last_connection->socket,
+                  asio::buffer(m_answers[m_answered - 1].back()), ignored);
+    }
+  }
+
   void write(const std::shared_ptr<connection>& c, std::size_t request,
              std::size_t part) {
     if (part == m_answers[request].size()) {
@@ -113,6 +128,7 @@
   io_loop& m_loop;
   std::vector<texts> m_answers;
   std::size_t m_answered = 0;
+  std::shared_ptr<connection> m_last_connection;
   tcp::acceptor m_acceptor;
 };
 
@@ -129,6 +145,11 @@
   /// Sends a request and returns its result. Without an id, the server is
   /// not expected to repeat one.
   target_result send(const std::string& id, const std::string& body = "") {
+    return send(id, body, [](target_request&) {});
+  }
+
+  target_result send(const std::string& id, const std::string& body,
+                     const std::function<void(target_request&)>& change) {
     std::vector<target_result> results;
     target_request r;
     r.method = body.empty() ? "GET" : "POST";
@@ -138,6 +159,7 @@
     if (!id.empty()) {
       r.echoed_header = {id_field, id};
     }
+    change(r);
     client.send(++last_exchange, std::move(r), [&results](target_result t) {
       results.push_back(std::move(t));
     });
@@ -249,13 +271,47 @@
   LONGS_EQUAL(1, x.client.connections_opened());
 }
 
-// A server that repeats no id wrote an earlier answer again, and it was taken
-// for that to a later request: a commit that had failed counted as done.
+// A server that repeats no id wrote an earlier answer again, on a connection
+// that was in use again: a commit that had failed counted as done.
 TEST(stray_response, an_earlier_answer_without_ids_ends_no_later_request) {
+  scripted_exchanges x({{answer(200, {}, "one")}, {answer(412, {}, "")}});
+  x.server.repeats_answers = true;
+  const auto commit = [](target_request& r) { r.exclusive_connection = true; };
+  check_own_answer(x.send("", "", commit), "one");
+  LONGS_EQUAL(412, x.send("", "", commit).status);
+}
+
+// The same after a call that leaves its connection to others.
+TEST(stray_response, an_exclusive_request_takes_no_connection_in_use) {
   scripted_exchanges x({{answer(200, {}, "one")},
-                        {answer(200, {}, "one"), answer(412, {}, "")}});
+                        {answer(412, {}, "")},
+                        {answer(200, {}, "three")}});
+  x.server.repeats_answers = true;
   check_own_answer(x.send(""), "one");
-  LONGS_EQUAL(412, x.send("").status);
+  LONGS_EQUAL(412, x.send("", "", [](target_request& r) {
+                      r.exclusive_connection = true;
+                    }).status);
+}
+
+// A target that may leave out the id got its connection used again, and a copy
+// of an earlier answer ended a later request.
+TEST(stray_response, a_target_without_ids_answers_once_on_a_connection) {
+  scripted_exchanges x({{answer(200, {}, "one")}, {answer(200, {}, "two")}});
+  x.server.repeats_answers = true;
+  const auto optional = [](target_request& r) { r.echo_required = false; };
+  check_own_answer(x.send("q1", "", optional), "one");
+  check_own_answer(x.send("q2", "", optional), "two");
+  LONGS_EQUAL(2, x.client.connections_opened());
+}
+
+TEST(stray_response, a_target_that_may_omit_the_id_keeps_connections_with_it) {
+  scripted_exchanges x(
+      {{answer(200, {"q1"}, "one")}, {answer(200, {"q2"}, "two")}});
+  x.server.repeats_answers = true;
+  const auto optional = [](target_request& r) { r.echo_required = false; };
+  check_own_answer(x.send("q1", "", optional), "one");
+  check_own_answer(x.send("q2", "", optional), "two");
+  LONGS_EQUAL(1, x.client.connections_opened());
 }
 
 // Nothing in the logs told that an answer had been skipped.
--- a/tests/standins/target_service.cpp
+++ b/tests/standins/target_service.cpp
@@ -185,6 +185,9 @@
     o.execution = verdict::ran;
     o.status = status;
     o.headers.push_back({"X-Target", m_settings.name});
+    o.headers.push_back({std::string(header_names::request_id),
+                         std::string(header_value(w.request.headers,
+                                                  header_names::request_id))});
     o.body = w.request.body;
     w.send(std::move(o));
     start_queued();
