Peer network: calls end with their own connection; queues are bounded

Two nodes may have a connection each to the other. A reply now goes back on the connection on which its call came, and a connection that closes ends only the calls that were written on it; the peer counts as lost with its last connection.

Found while the mesh with downloads was read: the queue of a connection was bounded in frames (20,000), not in bytes, so a peer that takes nothing could hold all memory of a 160 MB machine. All queues together now take 32 MB; beyond it calls are reported as unsent, and a reply goes without its answer (may have run; frame_dropped is logged). New test: 200 answers of 1 MB took 200 MB before.

--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -180,6 +180,10 @@
 
 void node::on_peer_lost(const std::string& peer) { m_calls.on_peer_lost(peer); }
 
+void node::on_call_lost(std::uint64_t correlation) {
+  m_calls.on_lost(correlation);
+}
+
 void node::on_target_result(std::uint64_t run, target_result result) {
   m_local_target.on_result(run, std::move(result));
 }
--- a/src/kingcupslip/core/pending_calls.cpp
+++ b/src/kingcupslip/core/pending_calls.cpp
@@ -40,9 +40,12 @@
 }
 
 void pending_calls::on_unsent(std::uint64_t correlation) {
-  complete_if([correlation](std::uint64_t id,
-                            const pending&) { return id == correlation; },
-              refusal(reason::node_unreachable));
+  complete(correlation, refusal(reason::node_unreachable));
+}
+
+void pending_calls::on_lost(std::uint64_t correlation) {
+  complete(correlation,
+           refusal(reason::connection_lost, verdict::may_have_run));
 }
 
 void pending_calls::on_peer_lost(const std::string& node) {
@@ -59,6 +62,16 @@
       refusal(reason::deadline, verdict::may_have_run));
 }
 
+void pending_calls::complete(std::uint64_t correlation, const outcome& result) {
+  const auto it = m_calls.find(correlation);
+  if (it == m_calls.end()) {
+    return;
+  }
+  const outcome_handler handler = std::move(it->second.handler);
+  m_calls.erase(it);
+  handler(result);
+}
+
 template <class Predicate>
 void pending_calls::complete_if(Predicate matches, const outcome& result) {
   std::vector<outcome_handler> handlers;
--- a/src/kingcupslip/core/pending_calls.hpp
+++ b/src/kingcupslip/core/pending_calls.hpp
@@ -38,6 +38,9 @@
   /// Refuses a call that was never sent and therefore has not run.
   void on_unsent(std::uint64_t correlation);
 
+  /// Refuses a call whose connection was lost. It may have run.
+  void on_lost(std::uint64_t correlation);
+
   /// Refuses all calls to `node` after its connection was lost. They may
   /// have run.
   void on_peer_lost(const std::string& node);
@@ -53,6 +56,7 @@
     instant deadline{0};
     outcome_handler handler;
   };
+  void complete(std::uint64_t correlation, const outcome& result);
   template <class Predicate>
   void complete_if(Predicate matches, const outcome& result);
 
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -166,6 +166,10 @@
   m_calls.on_peer_lost(peer);
 }
 
+void routed_node::on_call_lost(std::uint64_t correlation) {
+  m_calls.on_lost(correlation);
+}
+
 void routed_node::on_peer_unresponsive(const std::string& peer,
                                        bool unresponsive) {
   if (member* m = m_members.find(peer)) {
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -59,6 +59,7 @@
   void on_message(const std::string& from, wire::payloadUnion& body);
   void on_call_unsent(std::uint64_t correlation);
   void on_peer_lost(const std::string& peer);
+  void on_call_lost(std::uint64_t correlation);
   void on_peer_unresponsive(const std::string& peer, bool unresponsive);
 
   void on_target_result(std::uint64_t run, target_result result);
--- a/src/kingcupslip/daemon/daemon_common.hpp
+++ b/src/kingcupslip/daemon/daemon_common.hpp
@@ -47,6 +47,9 @@
   out.on_connection_lost = [get_node](const std::string& peer) {
     get_node().on_peer_lost(peer);
   };
+  out.on_call_lost = [get_node](std::uint64_t correlation) {
+    get_node().on_call_lost(correlation);
+  };
   out.address_of = [get_node](const std::string& peer) {
     return get_node().address_of(peer);
   };
--- a/src/kingcupslip/net/peer_network.cpp
+++ b/src/kingcupslip/net/peer_network.cpp
@@ -1,8 +1,10 @@
 // Dialling, accepting and selection of connections between nodes.
 #include "kingcupslip/net/peer_network.hpp"
 
+#include "kingcupslip/core/reply_codec.hpp"
 #include "kingcupslip/net/peer_session.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <optional>
@@ -17,6 +19,9 @@
 using error_code = boost::system::error_code;
 
 constexpr std::size_t max_sessions = 4096;
+/// Of the frames that are queued for all peers. A peer that reads slowly must
+/// not use up the memory of the node.
+constexpr std::size_t max_queued_bytes = 32UL * 1024 * 1024;
 /// Between an attempt to accept a connection that failed and the next one.
 constexpr std::chrono::milliseconds accept_pause{50};
 
@@ -36,11 +41,24 @@
   return tcp::endpoint(ip, port);
 }
 
+/// The reply to a call whose answer cannot be sent.
+wire::payloadUnion lost_answer(std::uint64_t correlation) {
+  wire::payloadUnion out;
+  out.Set(to_reply(correlation,
+                   refusal(reason::connection_lost, verdict::may_have_run)));
+  return out;
+}
+
 std::uint64_t call_correlation(const wire::payloadUnion& body) {
   const bool is_call = body.type == wire::payload::call;
   return is_call ? body.Ascall()->correlation : 0;
 }
 
+duration call_time_left(const wire::payloadUnion& body) {
+  const bool is_call = body.type == wire::payload::call;
+  return duration(is_call ? body.Ascall()->time_left_us : 0);
+}
+
 bool expects_response(const wire::payloadUnion& body) {
   return body.type == wire::payload::call ||
          (body.type == wire::payload::gossip && body.Asgossip()->answer_wanted);
@@ -73,9 +91,7 @@
 void peer_network::send(const std::string& node,
                         const wire::payloadUnion& body) {
   const std::uint64_t correlation = call_correlation(body);
-  std::shared_ptr<peer_session> s;
-  const auto it = m_session_by_node.find(node);
-  s = it == m_session_by_node.end() ? dial(node) : it->second;
+  const std::shared_ptr<peer_session> s = session_for(node, body);
   if (!s) {
     if (correlation != 0) {
       // Posted, not called from here: the sender may not have registered the
@@ -85,7 +101,49 @@
     }
     return;
   }
-  s->send(encode_frame(body), correlation, expects_response(body));
+  frame_bytes frame = encode_frame(body);
+  const bool is_reply = body.type == wire::payload::reply;
+  if (is_reply && !has_room_for(frame.size())) {
+    m_hooks.log(event_id::frame_dropped,
+                {{"peer", node}, {"why", "answers take too much memory"}});
+    frame = encode_frame(lost_answer(body.Asreply()->correlation));
+  }
+  s->send({std::move(frame), correlation, call_time_left(body),
+           expects_response(body)});
+}
+
+std::shared_ptr<peer_session>
+peer_network::session_for(const std::string& node,
+                          const wire::payloadUnion& body) {
+  const auto preferred = m_session_by_node.find(node);
+  if (body.type == wire::payload::reply) {
+    const std::uint64_t correlation = body.Asreply()->correlation;
+    if (preferred != m_session_by_node.end() &&
+        preferred->second->take_unanswered(correlation)) {
+      return preferred->second;
+    }
+    for (const std::pair<peer_session* const, std::shared_ptr<peer_session>>&
+             it : m_sessions) {
+      if (it.second->peer() == node &&
+          it.second->take_unanswered(correlation)) {
+        return it.second;
+      }
+    }
+  }
+  return preferred == m_session_by_node.end() ? dial(node) : preferred->second;
+}
+
+bool peer_network::has_room_for(std::size_t n) const {
+  return m_queued_bytes + n <= max_queued_bytes;
+}
+
+bool peer_network::has_established_session(const std::string& node) const {
+  return std::any_of(
+      m_sessions.begin(), m_sessions.end(),
+      [&node](const std::pair<peer_session* const,
+                              std::shared_ptr<peer_session>>& it) {
+        return it.second->established() && it.second->peer() == node;
+      });
 }
 
 void peer_network::tick() {
--- a/src/kingcupslip/net/peer_network.hpp
+++ b/src/kingcupslip/net/peer_network.hpp
@@ -26,8 +26,11 @@
       on_message;
   /// Called when a call's frame has definitely not been written.
   std::function<void(std::uint64_t correlation)> on_unsent;
-  /// Called when an established connection to a peer has closed.
+  /// Called when the last established connection to a peer has closed.
   std::function<void(const std::string& peer)> on_connection_lost;
+  /// Called when the connection on which a call was sent has closed before a
+  /// reply, while others to the peer remain; may be null.
+  std::function<void(std::uint64_t correlation)> on_call_lost;
   /// Called when a peer stops responding, and when it responds again or its
   /// connection closes; may be null.
   std::function<void(const std::string& peer, bool unresponsive)>
@@ -48,9 +51,12 @@
 
 /// Keeps the connections to other nodes and sends messages over them. Runs on
 /// the loop. Connects when there is something to send. Both ends prove that
-/// they know the fleet's secret before any other frame is accepted. A
-/// connection on which nothing arrives for 2 s although a response is pending
-/// is dropped, and one that was idle for 5 minutes is closed.
+/// they know the fleet's secret before any other frame is accepted. A reply is
+/// sent on the connection on which its call arrived, so that calls are lost
+/// with their own connection only. A connection on which nothing arrives for
+/// 2 s although a response is pending is dropped, and one that was idle for 5
+/// minutes is closed. The memory of all queued messages is bounded: beyond the
+/// bound calls are reported as unsent, and replies lose their answers.
 class peer_network {
 public:
   /// Throws `boost::system::system_error` if it cannot listen on the address.
@@ -75,6 +81,13 @@
   /// descriptor left would spin.
   void accept_later();
   std::shared_ptr<peer_session> dial(const std::string& node);
+  /// The connection for a message: for a reply that on which its call arrived;
+  /// otherwise, or if that has closed, the preferred one. Null if there is none
+  /// and the node cannot be dialled.
+  std::shared_ptr<peer_session> session_for(const std::string& node,
+                                            const wire::payloadUnion& body);
+  bool has_established_session(const std::string& node) const;
+  bool has_room_for(std::size_t n) const;
   void on_established(const std::shared_ptr<peer_session>& s);
   void on_closed(peer_session& s);
 
@@ -88,6 +101,7 @@
   std::map<std::string, std::shared_ptr<peer_session>> m_session_by_node;
   std::map<peer_session*, std::shared_ptr<peer_session>> m_sessions;
   std::uint64_t m_next_nonce = 0;
+  std::size_t m_queued_bytes = 0; ///< in the send queues of all sessions
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/net/peer_session.cpp
+++ b/src/kingcupslip/net/peer_session.cpp
@@ -74,16 +74,18 @@
   read_frame_header();
 }
 
-void peer_session::send(frame_bytes frame, std::uint64_t call_correlation,
-                        bool expects_response) {
-  if (m_closed || m_send_queue.size() >= max_queued_frames) {
-    if (call_correlation != 0) {
-      m_network->m_hooks.on_unsent(call_correlation);
+void peer_session::send(outgoing_frame frame) {
+  const bool has_room = m_send_queue.size() < max_queued_frames &&
+                        (frame.call_correlation == 0 ||
+                         m_network->has_room_for(frame.bytes.size()));
+  if (m_closed || !has_room) {
+    if (frame.call_correlation != 0) {
+      m_network->m_hooks.on_unsent(frame.call_correlation);
     }
     return;
   }
-  m_send_queue.push_back(
-      {std::move(frame), call_correlation, expects_response});
+  m_network->m_queued_bytes += frame.bytes.size();
+  m_send_queue.push_back(std::move(frame));
   write_next();
 }
 
@@ -91,6 +93,9 @@
   if (!m_established || m_closed) {
     return;
   }
+  for (auto it = m_open_calls.begin(); it != m_open_calls.end();) {
+    it = it->second < now ? m_open_calls.erase(it) : std::next(it);
+  }
   const duration since_received = now - m_last_received_at;
   const duration since_sent = now - m_last_sent_at;
   if (!m_response_pending && since_received > idle_timeout &&
@@ -112,7 +117,7 @@
     m_last_ping_at = now;
     wire::payloadUnion ping;
     ping.Set(wire::pingT{});
-    send(encode_frame(ping), 0, false);
+    send({encode_frame(ping), 0, duration(0), false});
   }
 }
 
@@ -137,6 +142,9 @@
   m_socket.close(ignored);
   const std::deque<outgoing_frame> unsent = std::move(m_send_queue);
   m_send_queue.clear();
+  for (const outgoing_frame& it : unsent) {
+    m_network->m_queued_bytes -= it.bytes.size();
+  }
   if (!notify) {
     return;
   }
@@ -147,7 +155,23 @@
     }
   }
   if (m_established) {
-    m_network->m_hooks.on_connection_lost(m_peer);
+    report_lost();
+  }
+}
+
+void peer_session::report_lost() {
+  const peer_hooks& hooks = m_network->m_hooks;
+  if (!m_network->has_established_session(m_peer)) {
+    hooks.on_connection_lost(m_peer);
+    return;
+  }
+  if (!hooks.on_call_lost) {
+    return;
+  }
+  const std::unordered_map<std::uint64_t, instant> lost =
+      std::move(m_open_calls);
+  for (const std::pair<const std::uint64_t, instant>& it : lost) {
+    hooks.on_call_lost(it.first);
   }
 }
 
@@ -228,9 +252,14 @@
   if (is_keepalive_ping) {
     wire::payloadUnion pong;
     pong.Set(wire::pongT{});
-    send(encode_frame(pong), 0, false);
+    send({encode_frame(pong), 0, duration(0), false});
     return;
   }
+  if (body.type == wire::payload::call) {
+    m_unanswered_calls.insert(body.Ascall()->correlation);
+  } else if (body.type == wire::payload::reply) {
+    m_open_calls.erase(body.Asreply()->correlation);
+  }
   m_network->m_hooks.on_message(m_peer, body);
 }
 
@@ -286,15 +315,21 @@
   }
   const bool in_handshake = !m_handshake_queue.empty();
   if (in_handshake) {
-    m_current_write = {std::move(m_handshake_queue.front()), 0, false};
+    m_current_write = {std::move(m_handshake_queue.front()), 0, duration(0),
+                       false};
     m_handshake_queue.pop_front();
   } else if (m_established && !m_send_queue.empty()) {
     m_current_write = std::move(m_send_queue.front());
     m_send_queue.pop_front();
+    m_network->m_queued_bytes -= m_current_write.bytes.size();
     if (!m_response_pending && m_current_write.expects_response) {
       m_response_pending = true;
       m_pending_since = read_clocks().now;
     }
+    if (m_current_write.call_correlation != 0) {
+      m_open_calls[m_current_write.call_correlation] =
+          read_clocks().now + m_current_write.call_time_left;
+    }
   } else {
     return;
   }
--- a/src/kingcupslip/net/peer_session.hpp
+++ b/src/kingcupslip/net/peer_session.hpp
@@ -7,6 +7,8 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace kingcupslip {
 
@@ -26,11 +28,23 @@
   /// Starts the handshake on the connected socket.
   void start();
 
+  /// A frame in the send queue.
+  struct outgoing_frame {
+    frame_bytes bytes;
+    std::uint64_t call_correlation = 0; ///< 0 unless the frame is a call
+    duration call_time_left{0};
+    bool expects_response = false;
+  };
+
   /// Queues a frame until the handshake is complete and the frames before it
-  /// are written. `call_correlation` is 0 unless the frame is a call. A frame
-  /// that cannot be queued is dropped; a call is then reported as unsent.
-  void send(frame_bytes frame, std::uint64_t call_correlation,
-            bool expects_response);
+  /// are written. A frame that cannot be queued is dropped; a call is then
+  /// reported as unsent.
+  void send(outgoing_frame frame);
+  /// Whether a call has arrived on this connection and not been answered; from
+  /// now on it counts as answered.
+  bool take_unanswered(std::uint64_t correlation) {
+    return m_unanswered_calls.erase(correlation) != 0;
+  }
   /// Sends a ping, reports an unresponsive peer or closes the connection, as
   /// the time without a received frame requires.
   void check_timeouts(instant now);
@@ -42,13 +56,6 @@
   bool established() const { return m_established; }
 
 private:
-  /// A frame in the send queue.
-  struct outgoing_frame {
-    frame_bytes bytes;
-    std::uint64_t call_correlation = 0;
-    bool expects_response = false;
-  };
-
   void send_hello();
   void read_frame_header();
   void read_frame_body(std::size_t n);
@@ -60,6 +67,8 @@
   void write_next();
   void fail(event_id id, const std::string& why);
   void set_unresponsive(bool unresponsive);
+  /// Reports what was lost with an established connection.
+  void report_lost();
 
   peer_network* m_network;
   boost::asio::ip::tcp::socket m_socket;
@@ -74,6 +83,9 @@
   std::deque<outgoing_frame> m_send_queue;
   outgoing_frame m_current_write;
   std::deque<frame_bytes> m_handshake_queue;
+  /// Calls that were written and got no reply yet, with their deadlines.
+  std::unordered_map<std::uint64_t, instant> m_open_calls;
+  std::unordered_set<std::uint64_t> m_unanswered_calls; ///< of the peer
   std::array<std::uint8_t, frame_header_bytes> m_frame_header{};
   frame_bytes m_frame_body;
   instant m_last_received_at{0};
--- a/tests/net/endless_request_test.cpp
+++ b/tests/net/endless_request_test.cpp
@@ -2,11 +2,12 @@
 // bounded, and the caller gets an answer or a closed connection.
 #include "kingcupslip/net/http_server.hpp"
 
+#include "support/heap_bytes.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <malloc.h>
 
 #include <algorithm>
 #include <array>
@@ -28,11 +29,6 @@
 /// A head, a body and what the sockets' buffers bring at once.
 constexpr std::size_t max_memory_growth = 4UL * 1024 * 1024;
 
-std::size_t heap_bytes() {
-  const struct mallinfo2 info = mallinfo2();
-  return info.uordblks + info.hblkhd;
-}
-
 /// Sends `first` and then `repeated` until the server closes the connection.
 struct endless_caller {
   endless_caller(io_loop& loop, std::uint16_t port, std::string first,
--- a/tests/net/endless_response_test.cpp
+++ b/tests/net/endless_response_test.cpp
@@ -2,13 +2,14 @@
 // exchange takes are bounded, and its caller gets a result.
 #include "kingcupslip/net/http_client.hpp"
 
+#include "support/heap_bytes.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
-#include <malloc.h>
 
 #include <algorithm>
 #include <memory>
@@ -96,11 +97,6 @@
 /// A node has 160 MB or more, of which answers may take a part.
 constexpr std::size_t max_memory_growth = 64UL * 1024 * 1024;
 
-std::size_t heap_bytes() {
-  const struct mallinfo2 info = mallinfo2();
-  return info.uordblks + info.hblkhd;
-}
-
 /// Sends requests to a server of this kind and checks that each of them ends
 /// in time, that no answer is made of the bytes, and how much memory they took.
 void check_ends(const endless_case& c) {
--- a/tests/net/peer_network_test.cpp
+++ b/tests/net/peer_network_test.cpp
@@ -2,6 +2,7 @@
 #include "kingcupslip/net/peer_network.hpp"
 
 #include "kingcupslip/net/frame.hpp"
+#include "support/heap_bytes.hpp"
 #include "support/silent_relay.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -140,6 +141,40 @@
   LONGS_EQUAL(2, calls_after_cut(frame_bytes));
 }
 
+// Answers for a node that takes none of them filled the memory of the process.
+TEST(peer_network, answers_for_a_peer_that_reads_nothing_are_bounded) {
+  constexpr std::size_t answers = 200;
+  constexpr std::size_t answer_bytes = 1024UL * 1024;
+  constexpr std::size_t max_memory_growth = 64UL * 1024 * 1024;
+  io_loop loop;
+  boost::asio::ip::tcp::acceptor silent_peer(
+      loop, {boost::asio::ip::address_v4::loopback(), 0});
+  std::size_t dropped = 0;
+  peer_hooks hooks;
+  hooks.on_message = [](const std::string&, wire::payloadUnion&) {};
+  hooks.on_unsent = [](std::uint64_t) {};
+  hooks.on_connection_lost = [](const std::string&) {};
+  hooks.address_of = [&silent_peer](const std::string&) {
+    return "127.0.0.1:" + std::to_string(silent_peer.local_endpoint().port());
+  };
+  hooks.log = [&dropped](event_id id, const event_fields&) {
+    dropped += id == event_id::frame_dropped ? 1 : 0;
+  };
+  peer_network network(loop, identity("node"), "the-secret-of-both",
+                       "127.0.0.1", 0, hooks);
+  const std::size_t before = heap_bytes();
+  for (std::size_t i = 0; i < answers; ++i) {
+    wire::replyT reply;
+    reply.correlation = i + 1;
+    reply.body.assign(answer_bytes, 'a');
+    wire::payloadUnion body;
+    body.Set(std::move(reply));
+    network.send("peer", body);
+  }
+  CHECK(heap_bytes() <= before + max_memory_growth);
+  CHECK(dropped > 0);
+}
+
 // Guards against an address that ends the process, or that is dialled, though
 // its port is out of range or no number.
 TEST(peer_network, an_address_without_a_valid_port_is_not_dialled) {
