--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -107,6 +107,7 @@
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
   ~http_session() {
+    uncount_answer();
     set_unanswered(false);
     --m_state->open_connections;
   }
@@ -262,9 +263,28 @@
       m_response.body().clear();
     }
     m_serializer.emplace(m_response);
+    hold_answer();
     write_response();
   }
 
+  void hold_answer() {
+    m_answer_bytes = m_response.body().size();
+    m_state->answer_bytes += m_answer_bytes;
+    m_position = m_state->answering.insert(m_state->answering.end(), this);
+    m_holds_answer = true;
+    while (m_state->answer_bytes > m_limits.max_answer_bytes &&
+           m_state->answering.front() != this) {
+      m_state->answering.front()->cut("answer_memory");
+    }
+  }
+
+  void uncount_answer() {
+    if (std::exchange(m_holds_answer, false)) {
+      m_state->answer_bytes -= m_answer_bytes;
+      m_state->answering.erase(m_position);
+    }
+  }
+
   void write_response() {
     start_timer(m_limits.answer_stall_timeout, &http_session::on_answer_stall);
     const std::shared_ptr<http_session> self = shared_from_this();
@@ -285,6 +305,7 @@
     }
     stop_timer();
     set_unanswered(false);
+    uncount_answer();
     m_serializer.reset();
     m_response = {};
     m_keep_open ? wait_for_request() : close_after_answer();
@@ -370,7 +391,9 @@
                              });
   }
 
+  /// A pending write keeps the answer until its handler has run.
   void close() {
+    uncount_answer();
     set_unanswered(false);
     error_code ignored;
     stop_timer();
@@ -390,6 +413,9 @@
   std::optional<http::request_parser<bounded_body>> m_parser;
   http::response<byte_body> m_response;
   std::optional<http::response_serializer<byte_body>> m_serializer;
+  std::size_t m_answer_bytes = 0;
+  std::list<http_session*>::iterator m_position; ///< if it holds an answer
+  bool m_holds_answer = false;
   int m_undelivered_bytes = 0;
   bool m_keep_alive = true;
   bool m_keep_open = false;
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,9 @@
   /// Time in which a caller takes no byte of its answer, after which the
   /// connection is closed.
   std::chrono::milliseconds answer_stall_timeout{30'000};
+  /// Memory for the bodies of answers that callers have not taken yet. Beyond
+  /// it, the connections whose answers have waited longest are closed.
+  std::size_t max_answer_bytes = 32UL * 1024 * 1024;
 };
 
 /// Sends the response to one request. Must be called exactly once, on the
@@ -86,6 +90,9 @@
   struct shared_state {
     std::size_t open_connections = 0;
     std::size_t unanswered_requests = 0;
+    std::size_t answer_bytes = 0; ///< of `answering`
+    /// Sessions that write an answer, the oldest answer first.
+    std::list<http_session*> answering;
     bool keep_alive_disabled = false;
     bool accepting = true;
   };
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -2,11 +2,14 @@
 // a caller that has gone is noticed.
 #include "kingcupslip/net/http_server.hpp"
 
+#include "support/heap_bytes.hpp"
+
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <memory>
 #include <string>
 #include <sys/resource.h>
 #include <thread>
@@ -422,3 +425,28 @@
     CHECK_FALSE(it->reset);
   }
 }
+
+// Answers that callers did not read filled the memory of the node.
+TEST(http_server, callers_that_read_nothing_hold_a_bounded_amount_of_memory) {
+  constexpr std::size_t slow_callers = 40;
+  constexpr std::size_t max_memory_growth = 64UL * 1024 * 1024;
+  served s{server_limits{}};
+  s.answer_bytes = 6UL * 1024 * 1024;
+  const std::size_t before = heap_bytes();
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  for (std::size_t i = 0; i < slow_callers; ++i) {
+    callers.push_back(std::make_unique<raw_caller>(s, 4096));
+    callers.back()->send(request);
+  }
+  CHECK(s.run_until(patience_of_test,
+                    [&s] { return s.requests == slow_callers; }));
+  CHECK(heap_bytes() <= before + max_memory_growth);
+  CHECK(!s.causes.empty());
+  for (const std::string& it : s.causes) {
+    CHECK(it == "answer_memory");
+  }
+  s.answer_bytes = 2;
+  raw_caller quick(s);
+  quick.send(request);
+  CHECK(!quick.read_until("aa").empty());
+}
