Descriptors: callers get a part of them, idle connections give way

At the limit of the process a node reaches neither its target, which then counts as unreachable, nor other nodes.

The setting file_descriptors (from the platform's settings) bounds what callers may have open to four fifths of what files and the store leave; from nine tenths of that on, a new connection closes the one that has been idle longest. Those with a request never give way, and beyond the bound callers get 503 too_many_connections as before. The addresses of the node itself take 64 connections each.

Tests: idle_connections_give_way_to_new_ones (100 callers over a server with 20 connections; refused from the 21st on before), connections_with_a_request_do_not_give_way.

--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t max_request_body_bytes = 8UL * 1024 * 1024;
 /// Of requests to the node itself. Parsed JSON takes far more than its text.
 constexpr std::size_t max_control_body_bytes = 64UL * 1024;
+/// Of callers of the node itself, for each of its addresses.
+constexpr std::size_t max_control_connections = 64;
 /// A target that misses this many announcements is considered gone.
 constexpr int max_missed_announcements = 4;
 
@@ -45,14 +47,16 @@
   m_peer_network = std::make_unique<peer_network>(
       m_loop, options.self, settings.fleet_secret, settings.peers.ip,
       settings.peers.port, std::move(network_hooks));
-  const auto listen = [this](const listen_address& at, server_hooks h,
-                             std::size_t max_body_bytes =
-                                 max_control_body_bytes) {
-    server_limits limits;
-    limits.max_body_bytes = max_body_bytes;
-    return std::make_unique<http_server>(m_loop, at.ip, at.port, limits,
-                                         std::move(h));
-  };
+  const auto listen =
+      [this](const listen_address& at, server_hooks h,
+             std::size_t max_body_bytes = max_control_body_bytes,
+             std::size_t max_connections = max_control_connections) {
+        server_limits limits;
+        limits.max_body_bytes = max_body_bytes;
+        limits.max_connections = max_connections;
+        return std::make_unique<http_server>(m_loop, at.ip, at.port, limits,
+                                             std::move(h));
+      };
   m_caller_server =
       listen(settings.callers,
              {[this](caller_request r, const response_sender& send) {
@@ -62,7 +66,7 @@
                 refresh_clock().on_caller_disconnected(connection);
               },
               m_protocol.encode_response, m_log},
-             max_request_body_bytes);
+             max_request_body_bytes, max_caller_connections(settings));
   m_readiness_server =
       listen(settings.readiness,
              {[this](const caller_request& r, const response_sender& send) {
--- a/src/kingcupslip/daemon/routed_settings.cpp
+++ b/src/kingcupslip/daemon/routed_settings.cpp
@@ -7,6 +7,15 @@
 
 namespace kingcupslip {
 
+namespace {
+
+constexpr std::int64_t min_file_descriptors = 512;
+constexpr std::int64_t max_file_descriptors = 1'000'000;
+/// For files, listening sockets, timers and the store.
+constexpr std::int64_t other_descriptors = 256;
+
+} // namespace
+
 routed_settings_result parse_routed_settings(const std::string& yaml_text) {
   settings_errors errors;
   const std::optional<YAML::Node> root = load_settings_map(yaml_text, errors);
@@ -33,6 +42,8 @@
   out.grace_period = in.seconds("grace_period_s", out.grace_period);
   out.retry_part = in.non_negative_number("retry_part", out.retry_part);
   out.retry_slack = in.non_negative_number("retry_slack", out.retry_slack);
+  out.file_descriptors = in.integer("file_descriptors", out.file_descriptors,
+                                    min_file_descriptors, max_file_descriptors);
   in.reject_unknown_keys();
   if (!errors.empty()) {
     sort_errors(errors);
@@ -41,4 +52,9 @@
   return out;
 }
 
+std::size_t max_caller_connections(const routed_settings& s) {
+  const std::int64_t for_connections = s.file_descriptors - other_descriptors;
+  return static_cast<std::size_t>(for_connections * 4 / 5);
+}
+
 } // namespace kingcupslip
--- a/src/kingcupslip/daemon/routed_settings.hpp
+++ b/src/kingcupslip/daemon/routed_settings.hpp
@@ -34,8 +34,14 @@
   /// (`retry_part`), plus a fixed number (`retry_slack`).
   double retry_part = 0.2;
   double retry_slack = 48;
+  /// That the process may have open.
+  std::int64_t file_descriptors = 8192;
 };
 
+/// Connections that callers may have open. The other descriptors remain for the
+/// target, other nodes and files, without which no caller can be served.
+std::size_t max_caller_connections(const routed_settings& s);
+
 using routed_settings_result =
     boost::outcome_v2::result<routed_settings, settings_errors,
                               boost::outcome_v2::policy::terminate>;
--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -107,6 +107,7 @@
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
   ~http_session() {
+    set_idle(false);
     uncount_answer();
     set_unanswered(false);
     --m_state->open_connections;
@@ -117,6 +118,9 @@
       refuse(reason::too_many_connections);
       return;
     }
+    if (m_state->open_connections > idle_connections_give_way_at()) {
+      close_longest_idle();
+    }
     wait_for_request();
   }
 
@@ -127,8 +131,10 @@
       return;
     }
     start_timer(m_limits.idle_timeout, &http_session::on_idle_timeout);
+    set_idle(true);
     const std::shared_ptr<http_session> self = shared_from_this();
     m_socket.async_wait(tcp::socket::wait_read, [self](const error_code& ec) {
+      self->set_idle(false);
       if (!ec) {
         self->stop_timer();
         self->read_request();
@@ -136,6 +142,28 @@
     });
   }
 
+  std::size_t idle_connections_give_way_at() const {
+    return m_limits.max_connections - m_limits.max_connections / 10;
+  }
+
+  void close_longest_idle() {
+    if (!m_state->idle.empty()) {
+      m_state->idle.front()->on_idle_timeout();
+    }
+  }
+
+  void set_idle(bool is_idle) {
+    if (m_is_idle == is_idle) {
+      return;
+    }
+    m_is_idle = is_idle;
+    if (is_idle) {
+      m_idle_position = m_state->idle.insert(m_state->idle.end(), this);
+    } else {
+      m_state->idle.erase(m_idle_position);
+    }
+  }
+
   void on_idle_timeout() {
     error_code ignored;
     if (m_socket.available(ignored) > 0) {
@@ -393,6 +421,7 @@
 
   /// A pending write keeps the answer until its handler has run.
   void close() {
+    set_idle(false);
     uncount_answer();
     set_unanswered(false);
     error_code ignored;
@@ -416,6 +445,8 @@
   std::size_t m_answer_bytes = 0;
   std::list<http_session*>::iterator m_position; ///< if it holds an answer
   bool m_holds_answer = false;
+  std::list<http_session*>::iterator m_idle_position; ///< if it is idle
+  bool m_is_idle = false;
   int m_undelivered_bytes = 0;
   bool m_keep_alive = true;
   bool m_keep_open = false;
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -22,6 +22,8 @@
 struct server_limits {
   std::size_t max_header_bytes = 16UL * 1024;
   std::size_t max_body_bytes = 1024UL * 1024;
+  /// Beyond this, connections are refused. From nine tenths of it on, a new one
+  /// closes the one that has been idle longest.
   std::size_t max_connections = 4096;
   /// Time for a whole request to arrive after its first byte.
   std::chrono::milliseconds request_timeout{10'000};
@@ -91,6 +93,8 @@
     std::size_t open_connections = 0;
     std::size_t unanswered_requests = 0;
     std::size_t answer_bytes = 0; ///< of `answering`
+    /// Sessions without a request, the one that has been idle longest first.
+    std::list<http_session*> idle;
     /// Sessions that write an answer, the oldest answer first.
     std::list<http_session*> answering;
     bool keep_alive_disabled = false;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -450,3 +450,40 @@
   quick.send(request);
   CHECK(!quick.read_until("aa").empty());
 }
+
+// Idle connections filled the descriptors of the process, which then reached
+// neither new callers nor its target.
+TEST(http_server, idle_connections_give_way_to_new_ones) {
+  server_limits limits;
+  limits.max_connections = 20;
+  served s{limits};
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  for (std::size_t i = 0; i < 100; ++i) {
+    callers.push_back(std::make_unique<raw_caller>(s));
+    callers.back()->send(request);
+    CHECK(!callers.back()->read_until("aa").empty());
+    CHECK_COMPARE(s.server.connections(), <=, limits.max_connections);
+  }
+  LONGS_EQUAL(100, s.requests);
+}
+
+TEST(http_server, connections_with_a_request_do_not_give_way) {
+  server_limits limits;
+  limits.max_connections = 10;
+  served s{limits};
+  s.answers_at_once = false;
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  for (std::size_t i = 0; i < limits.max_connections; ++i) {
+    callers.push_back(std::make_unique<raw_caller>(s));
+    callers.back()->send(request);
+    CHECK(s.run_until(patience_of_test,
+                      [&s, i] { return s.held.size() == i + 1; }));
+  }
+  raw_caller one_more(s);
+  one_more.send(request);
+  CHECK(one_more.read_until("too_many_connections").find(" 503 ") !=
+        std::string::npos);
+  s.run_for(milliseconds(100));
+  LONGS_EQUAL(0, s.disconnects);
+  LONGS_EQUAL(limits.max_connections, s.held.size());
+}
