Silence detector: silent runs go on, without a place

Cause: the detector's evidence is statistical, and ending a run cannot be taken back. A silent run now goes on to its deadline; its place is free at once, and it counts as a failure of its target. Ruled out: a longer factor than half, which moves the fault to rarer works only.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -251,14 +251,13 @@
     m_crash_detector.on_instance_ended(m_clock.now);
     stop_sending();
   }
-  end_silent_runs();
+  find_silent_runs();
   shed_unfinishable();
   refuse_for_leaving_target();
   start_queued();
 }
 
-void target_stage::end_silent_runs() {
-  std::vector<std::uint64_t> to_cancel;
+void target_stage::find_silent_runs() {
   for (std::pair<const std::uint64_t, run>& it : m_runs) {
     run& r = it.second;
     const bool newly_silent =
@@ -267,6 +266,7 @@
     if (!newly_silent) {
       continue;
     }
+    // It is not cancelled: its answer may still come.
     r.silent = true;
     ++m_silent_runs;
     m_limit.on_failure(m_clock.now);
@@ -276,12 +276,6 @@
          {"instance", m_instance},
          {"ran_us", std::to_string((m_clock.now - r.started_at).count())},
          {"in_flight", std::to_string(m_runs.size())}});
-    if (r.idempotent) {
-      to_cancel.push_back(it.first);
-    }
-  }
-  for (const std::uint64_t it : to_cancel) {
-    m_hooks.cancel(it);
   }
 }
 
@@ -568,7 +562,7 @@
 }
 
 void target_stage::update_limits(const run& r, const target_result& result) {
-  if (r.cancelled || r.silent) {
+  if (r.cancelled) {
     return;
   }
   const bool out_of_time =
@@ -596,7 +590,7 @@
     }
     return;
   }
-  const bool in_time = !r.cancelled && !r.silent && m_clock.now < r.deadline;
+  const bool in_time = !r.cancelled && m_clock.now < r.deadline;
   if (result.end == exchange_end::lost && in_time && !m_target_draining) {
     m_crash_detector.on_run_lost(run_id, running_digests(), m_clock.now);
   } else {
@@ -632,10 +626,10 @@
     return refusal(reason::target_unreachable);
   case exchange_end::lost: {
     const bool late = m_clock.now >= r.deadline;
-    return refusal(r.cancelled ? reason::cancelled
-                   : r.silent  ? reason::target_silent
-                   : late      ? reason::deadline
-                               : reason::connection_lost,
+    return refusal(r.cancelled        ? reason::cancelled
+                   : late && r.silent ? reason::target_silent
+                   : late             ? reason::deadline
+                                      : reason::connection_lost,
                    verdict::may_have_run);
   }
   case exchange_end::answered:
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -253,8 +253,8 @@
   bool failed_on_nested_overload(const run& r, const outcome& o) const;
   /// Applies what the target states about itself in the answer of a run.
   void update_notices(const run& r, const target_result& result);
-  /// Ends silent runs that may be sent again, and frees the places of others.
-  void end_silent_runs();
+  /// Frees the places of runs that the target does not work on.
+  void find_silent_runs();
   /// Runs that the target works on.
   std::size_t busy() const { return m_runs.size() - m_silent_runs; }
   void log_failed_run(const run& r, const target_result& result, bool moved);
