Team quota: a grant lapses with its ask

Operators reported processes that acted, after a pause, on a permission that had run out. Here a grant of tokens that had waited in the socket of a suspended process was valid for 300 ms from when it was read: the test spends 25 tokens where 5 are its own.

A grant now repeats the time of its ask, by the clock of the node that asked (CLOCK_BOOTTIME, which counts the suspension), and lapses 500 ms after it. Ruled out: comparing with the time of the node's last ask, as the node may have asked again before it reads the old grant. Grants of nodes of an earlier release carry no time and are taken as before.

--- a/src/kingcupslip/core/team_quota.cpp
+++ b/src/kingcupslip/core/team_quota.cpp
@@ -172,7 +172,7 @@
                         instant now) {
   const auto it = m_teams.find(m.team);
   if (it == m_teams.end()) {
-    send_grant(from, m.team, 0);
+    send_grant(from, m.team, 0, m.asked_us);
     return;
   }
   team_state& state = it->second;
@@ -185,7 +185,7 @@
     const std::chrono::milliseconds hold(
         std::min<std::uint32_t>(m.hold_ms, max_hold.count()));
     state.held_asks.push_back(
-        {from, std::min(m.tokens, max_tokens_asked), now + hold});
+        {from, std::min(m.tokens, max_tokens_asked), now + hold, m.asked_us});
     serve_held_asks(m.team, state, now);
     return;
   }
@@ -196,12 +196,16 @@
          state.bucket.take(now)) {
     ++given;
   }
-  send_grant(from, m.team, given);
+  send_grant(from, m.team, given, m.asked_us);
 }
 
 void team_quota::serve_held_asks(const std::string& team, team_state& state,
                                  instant now) {
-  std::map<std::string, std::uint32_t> granted;
+  struct grant {
+    std::uint32_t tokens = 0;
+    std::int64_t asked_us = 0;
+  };
+  std::map<std::string, grant> granted;
   while (!state.held_asks.empty()) {
     if (state.held_asks.front().until <= now ||
         state.held_asks.front().tokens == 0) {
@@ -215,22 +219,25 @@
     }
     held_ask a = std::move(state.held_asks.front());
     state.held_asks.pop_front();
-    ++granted[a.node];
+    grant& g = granted[a.node];
+    ++g.tokens;
+    g.asked_us = a.asked_us;
     ++state.granted_since_own;
     if (--a.tokens > 0) {
       state.held_asks.push_back(std::move(a));
     }
   }
-  for (const std::pair<const std::string, std::uint32_t>& it : granted) {
-    send_grant(it.first, team, it.second);
+  for (const std::pair<const std::string, grant>& it : granted) {
+    send_grant(it.first, team, it.second.tokens, it.second.asked_us);
   }
 }
 
 void team_quota::send_grant(const std::string& to, const std::string& team,
-                            std::uint32_t tokens) const {
+                            std::uint32_t tokens, std::int64_t asked_us) const {
   wire::quota_grantT grant;
   grant.team = team;
   grant.tokens = tokens;
+  grant.asked_us = asked_us;
   wire::payloadUnion body;
   body.Set(std::move(grant));
   m_send(to, std::move(body));
@@ -242,6 +249,13 @@
     return;
   }
   team_state& state = it->second;
+  // A grant that was on its way while this process was suspended has lapsed.
+  const instant lapses_at = m.asked_us == 0 ? instant::max()
+                                            : instant(m.asked_us) + max_hold +
+                                                  borrowed_token_lifetime;
+  if (now >= lapses_at) {
+    return;
+  }
   if (m.tokens == 0) {
     const bool round_in_progress = state.asked_in_round > 0;
     if (round_in_progress) {
@@ -253,7 +267,7 @@
   state.no_loan_until = instant(0);
   state.next_ask_at = now;
   state.borrowed = (now < state.borrowed_until ? state.borrowed : 0) + m.tokens;
-  state.borrowed_until = now + borrowed_token_lifetime;
+  state.borrowed_until = std::min(now + borrowed_token_lifetime, lapses_at);
   if (m_on_grant) {
     m_on_grant(m.team);
   }
@@ -291,6 +305,7 @@
   const bool last = state.asked_in_round >= std::min(n, max_homes_asked);
   wire::quota_askT ask;
   ask.team = team;
+  ask.asked_us = now.count();
   ask.tokens = state.waiting_requests;
   const std::chrono::milliseconds useful_hold =
       std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/kingcupslip/core/team_quota.hpp
+++ b/src/kingcupslip/core/team_quota.hpp
@@ -67,6 +67,7 @@
     std::string node;
     std::uint32_t tokens = 0;
     instant until{0};
+    std::int64_t asked_us = 0; ///< repeated in the grant
   };
   struct team_state {
     double rate_per_s = 0;
@@ -96,7 +97,7 @@
   /// Grants available tokens to waiting nodes, in turn with own callers.
   void serve_held_asks(const std::string& team, team_state& state, instant now);
   void send_grant(const std::string& to, const std::string& team,
-                  std::uint32_t tokens) const;
+                  std::uint32_t tokens, std::int64_t asked_us) const;
 
   member_table& m_members;
   message_sender m_send;
--- a/tests/core/team_quota_test.cpp
+++ b/tests/core/team_quota_test.cpp
@@ -154,3 +154,47 @@
   f.run_for(seconds(5));
   CHECK(target_runs(f, all) - before <= (5 * 5 + 5) * 1.1 + 20);
 }
+
+// A node that had been suspended spent tokens that were lent to it before.
+TEST(team_quota, a_grant_that_arrives_after_a_suspension_has_lapsed) {
+  node_identity self;
+  self.node = "n1";
+  self.incarnation = 1;
+  member_table members(self, [] { return 1; });
+  wire::memberT other;
+  other.node = "n2";
+  other.incarnation = 1;
+  members.merge(other, instant(0));
+  std::vector<wire::quota_askT> asks;
+  team_quota quota(
+      members,
+      [&asks](const std::string&, const wire::payloadUnion& body) {
+        if (body.type == wire::payload::quota_ask) {
+          asks.push_back(*body.Asquota_ask());
+        }
+      },
+      [] { return 1; });
+  const instant asked_at = seconds(50);
+  quota.apply(*std::make_shared<const route_table>(simple_routes(10, 10)),
+              asked_at);
+  const token_source tokens = quota.make_token_source();
+  while (quota.take("t", asked_at)) {
+  }
+  tokens.on_queue_change("t", 1, asked_at + seconds(1), asked_at);
+  LONGS_EQUAL(1, asks.size());
+  wire::quota_grantT grant;
+  grant.team = "t";
+  grant.tokens = 20;
+  grant.asked_us = asks.front().asked_us;
+  const instant in_time = asked_at + milliseconds(100);
+  quota.on_grant(grant, in_time);
+  CHECK(quota.take("t", in_time));
+  const instant woken = asked_at + seconds(5);
+  quota.on_grant(grant, woken);
+  std::size_t taken = 0;
+  while (quota.take("t", woken)) {
+    ++taken;
+  }
+  // Its own part of the burst.
+  CHECK_COMPARE(taken, <=, 5);
+}
