Members: a known departure displaces no notice of a later instance

Found in reading the diff: each update of a member carries its last departure, and each would have replaced what the next instance had stated since, such as its rate. Only a departure that was not known before does.

Test: a_known_departure_displaces_no_later_notice.

--- a/src/kingcupslip/core/member_table.cpp
+++ b/src/kingcupslip/core/member_table.cpp
@@ -34,11 +34,19 @@
   return placement_hash(subject);
 }
 
-/// A later process of the member knows nothing of the departure.
-void remember_departure(member& m) {
-  if (m.info.departure) {
-    m.target_notice = *m.info.departure;
+/// Replaces what is known of a member. A departure of its target is remembered
+/// beyond that, as a later process of the member knows nothing of it. One that
+/// was known before does not displace what a later instance stated since.
+void set_info(member& m, const wire::memberT& update) {
+  const std::unique_ptr<wire::target_noticeT>& known = m.info.departure;
+  const std::unique_ptr<wire::target_noticeT>& departure = update.departure;
+  const bool is_new =
+      departure && (!known || known->instance != departure->instance ||
+                    known->start_time_ms != departure->start_time_ms);
+  if (is_new) {
+    m.target_notice = *departure;
   }
+  m.info = update;
 }
 
 std::uint32_t retransmit_limit(std::size_t members) {
@@ -94,8 +102,7 @@
   const auto it = m_members.find(update.node);
   if (it == m_members.end()) {
     member& m = m_members[update.node];
-    m.info = update;
-    remember_departure(m);
+    set_info(m, update);
     m.last_heard_at = now;
     m.state_since = now;
     queue_for_gossip(m);
@@ -109,8 +116,7 @@
   }
   const bool state_changed = m.info.state != update.state;
   const bool restarted = update.incarnation != m.info.incarnation;
-  m.info = update;
-  remember_departure(m);
+  set_info(m, update);
   if (state_changed || restarted) {
     m.state_since = now;
     m.probes_missed = 0;
--- a/tests/core/target_rate_limit_test.cpp
+++ b/tests/core/target_rate_limit_test.cpp
@@ -326,3 +326,25 @@
   l.fleet.run_for(seconds(6));
   CHECK(starts_since(l.fleet.target("a1").started_at, since) >= 3 * 25);
 }
+
+// A departure that was gossiped again displaced what the next instance stated.
+TEST(target_leaving, a_known_departure_displaces_no_later_notice) {
+  node_identity self;
+  self.node = "n1";
+  member_table members(self, [] { return 1; });
+  wire::memberT other;
+  other.node = "n2";
+  other.incarnation = 1;
+  other.departure = std::make_unique<wire::target_noticeT>();
+  other.departure->instance = "i-1";
+  other.departure->leaving = true;
+  members.merge(other, instant(0));
+  CHECK(members.find("n2")->target_notice->instance == "i-1");
+  wire::target_noticeT stated;
+  stated.instance = "i-2";
+  stated.rate_limit_per_s = 5;
+  members.find("n2")->target_notice = stated;
+  ++other.beat;
+  CHECK(members.merge(other, instant(0)));
+  CHECK(members.find("n2")->target_notice->instance == "i-2");
+}
