--- a/tests/net/stray_response_test.cpp
+++ b/tests/net/stray_response_test.cpp
@@ -2,16 +2,11 @@
 // one: no request ends with them, and no later one meets them.
 #include "kingcupslip/net/http_client.hpp"
 
-#include <CppUTest/TestHarness.h>
+#include "support/scripted_server.hpp"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
+#include <CppUTest/TestHarness.h>
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,16 +15,12 @@
 
 namespace {
 
-namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
-using error_code = boost::system::error_code;
-
 const std::string id_field = "Request-Id";
 const std::string not_run_field = "Not-Run";
 constexpr milliseconds time_left{400};
 constexpr milliseconds scheduling_slack{500};
 /// Between a stray answer and the answer to the request on the connection.
-constexpr milliseconds pause{50};
+constexpr milliseconds pause = scripted_server::pause;
 
 std::string answer(int status, const std::vector<std::string>& ids,
                    const std::string& body, const std::string& fields = "") {
@@ -46,92 +37,6 @@
   return answer(503, ids, "", not_run_field + ": 1\r\n");
 }
 
-/// Answers the requests in the order in which they arrive, over all
-/// connections, with these texts; the texts of one answer are sent with a pause
-/// between them. A request without texts gets no answer.
-class scripted_server {
-public:
-  using texts = std::vector<std::string>;
-
-  scripted_server(io_loop& loop, std::vector<texts> answers)
-      : m_loop(loop), m_answers(std::move(answers)),
-        m_acceptor(loop, {asio::ip::address_v4::loopback(), 0}) {
-    accept();
-  }
-
-  tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
-
-  /// Whether the last answer is written once more, where it went, before the
-  /// next request is answered.
-  bool repeats_answers = false;
-
-private:
-  struct connection {
-    explicit connection(io_loop& loop) : socket(loop), timer(loop) {}
-    tcp::socket socket;
-    asio::steady_timer timer;
-    asio::streambuf request;
-  };
-
-  void accept() {
-    const std::shared_ptr<connection> c = std::make_shared<connection>(m_loop);
-    m_acceptor.async_accept(c->socket, [this, c](const error_code& ec) {
-      if (!ec) {
-        read(c);
-        accept();
-      }
-    });
-  }
-
-  void read(const std::shared_ptr<connection>& c) {
-    asio::async_read_until(c->socket, c->request, "\r\n\r\n",
-                           [this, c](const error_code& ec, std::size_t n) {
-                             if (ec || m_answered == m_answers.size()) {
-                               return;
-                             }
-                             c->request.consume(n);
-                             repeat_last_answer();
-                             m_last_connection = c;
-                             write(c, m_answered++, 0);
-                           });
-  }
-
-  void repeat_last_answer() {
-    if (repeats_answers && m_last_connection) {
-      error_code ignored;
-      asio::write(m_last_connection->socket,
-                  asio::buffer(m_answers[m_answered - 1].back()), ignored);
-    }
-  }
-
-  void write(const std::shared_ptr<connection>& c, std::size_t request,
-             std::size_t part) {
-    if (part == m_answers[request].size()) {
-      read(c);
-      return;
-    }
-    asio::async_write(
-        c->socket, asio::buffer(m_answers[request][part]),
-        [this, c, request, part](const error_code& ec, std::size_t) {
-          if (ec) {
-            return;
-          }
-          c->timer.expires_after(pause);
-          c->timer.async_wait([this, c, request, part](const error_code& e) {
-            if (!e) {
-              write(c, request, part + 1);
-            }
-          });
-        });
-  }
-
-  io_loop& m_loop;
-  std::vector<texts> m_answers;
-  std::size_t m_answered = 0;
-  std::shared_ptr<connection> m_last_connection;
-  tcp::acceptor m_acceptor;
-};
-
 /// A client of a scripted server.
 struct scripted_exchanges {
   explicit scripted_exchanges(std::vector<scripted_server::texts> answers)
