--- a/tests/core/target_rate_limit_test.cpp
+++ b/tests/core/target_rate_limit_test.cpp
@@ -70,6 +70,17 @@
            allowed_in_window(per_s);
   }
 
+  /// An announcement of the first instance of a1 arrives late.
+  void announce_late() {
+    target_announcement late;
+    late.instance = "a1-1";
+    late.start_time_ms = 1;
+    late.sequence = 1000;
+    late.service = "svc";
+    late.max_concurrency = 100;
+    fleet.at("a1").on_target_announce(late);
+  }
+
   /// Starts a new instance, which states nothing.
   void replace_idle_target(const std::string& node) {
     fleet.target(node).answer_headers.clear();
@@ -278,13 +289,7 @@
   l.fleet.kill("a1");
   l.fleet.run_for(milliseconds(300));
   l.fleet.restart_node("a1");
-  target_announcement late;
-  late.instance = "a1-1";
-  late.start_time_ms = 1;
-  late.sequence = 1000;
-  late.service = "svc";
-  late.max_concurrency = 100;
-  l.fleet.at("a1").on_target_announce(late);
+  l.announce_late();
   l.fleet.run_for(seconds(12));
   LONGS_EQUAL(0, starts_since(l.fleet.target("a1").started_at, since));
 }
@@ -300,14 +305,31 @@
   l.fleet.kill("a1");
   l.fleet.run_for(milliseconds(300));
   l.fleet.restart_node("a1");
-  target_announcement late;
-  late.instance = "a1-1";
-  late.start_time_ms = 1;
-  late.sequence = 1000;
-  late.service = "svc";
-  late.max_concurrency = 100;
-  l.fleet.at("a1").on_target_announce(late);
+  l.announce_late();
+  l.fleet.run_for(seconds(2));
+  const instant since = l.fleet.time.now();
+  routed_load load(l.fleet, {"a1"}, "/safe/x", 50, seconds(3));
+  l.fleet.run_for(seconds(4));
+  CHECK(load.ran > 0);
+  LONGS_EQUAL(0, starts_since(l.fleet.target("a1").started_at, since));
+}
+
+// A goodbye to a process that had never heard of the target was known to it
+// only.
+TEST(target_leaving, a_goodbye_to_a_restarted_node_is_remembered) {
+  limited_fleet l(14);
   l.fleet.run_for(seconds(2));
+  l.fleet.announcing = false;
+  for (const bool says_goodbye : {true, false}) {
+    l.fleet.kill("a1");
+    l.fleet.run_for(milliseconds(300));
+    l.fleet.restart_node("a1");
+    if (says_goodbye) {
+      l.fleet.at("a1").on_target_leave("a1-1", 1);
+    }
+    l.fleet.run_for(drain_time);
+  }
+  l.announce_late();
   const instant since = l.fleet.time.now();
   routed_load load(l.fleet, {"a1"}, "/safe/x", 50, seconds(3));
   l.fleet.run_for(seconds(4));
