--- a/src/kingcupslip/core/silence_detector.cpp
+++ b/src/kingcupslip/core/silence_detector.cpp
@@ -36,15 +36,15 @@
 
 bool silence_detector::is_silent(const std::string& kind, instant started_at,
                                  instant now) const {
-  const auto it = m_kinds.find(kind);
+  const duration waited = now - started_at;
+  const auto it = waited > min_silence ? m_kinds.find(kind) : m_kinds.end();
   if (it == m_kinds.end()) {
     return false;
   }
   const kind_state& state = it->second;
   const duration longest = std::max(state.longest, state.previous_longest);
   const bool overtaken = state.latest_starts.front() > started_at;
-  return overtaken &&
-         now - started_at > std::max(min_silence, longest + longest / 2);
+  return overtaken && waited > longest + longest / 2;
 }
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -134,8 +134,8 @@
 /// Starts, queues or refuses the requests for the local target, and learns from
 /// its answers how many it can run at once.
 ///
-/// Invariant: in_flight() <= limit(), except after the limit has shrunk while
-/// more requests were running.
+/// Invariant: at most limit() runs are not silent, except after the limit has
+/// shrunk while more requests were running.
 class target_stage {
 public:
   target_stage(target_options options, target_hooks hooks,
--- a/tests/core/fan_out_test.cpp
+++ b/tests/core/fan_out_test.cpp
@@ -113,8 +113,8 @@
 };
 // clang-format on
 
-// A service that lost a quarter of its capacity refused nearly all chains, and
-// cuts that were too deep, or taken back too soon, kept goodput at half of it.
+// Guards against cuts that are too deep, or taken back too soon, where a
+// service that lost a quarter of its capacity refuses nearly all chains.
 TEST(fan_out, what_is_left_after_a_loss_of_capacity_is_used) {
   fan_out_model m(nodes, calls, full_capacity);
   m.offered_per_s = offered;
@@ -124,7 +124,7 @@
   CHECK(m.goodput(seconds(10)) >= 0.75 * offered * 0.8);
 }
 
-// After the capacity had returned, goodput stayed low for ten seconds.
+// Goodput stayed low for five seconds after the capacity had returned.
 TEST(fan_out, goodput_returns_soon_after_the_capacity) {
   fan_out_model m(nodes, calls, full_capacity);
   m.offered_per_s = offered;
@@ -136,8 +136,8 @@
   CHECK(m.goodput(seconds(2)) >= 0.95 * offered);
 }
 
-// Nearly all work was spent on chains that failed when much more was offered
-// than the service takes.
+// Guards against work that is spent on chains that fail, where much more is
+// offered than the service takes.
 TEST(fan_out, goodput_holds_under_many_times_the_load) {
   for (const double times : {1.5, 3.0, 10.0}) {
     fan_out_model m(nodes, calls, offered * calls);
