--- a/review/standins.py
+++ b/review/standins.py
@@ -22,6 +22,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 FIRST_PORT, LAST_PORT = 20_000, 29_999
+PORTS_PER_RUN = 100  # runs side by side begin at different multiples of it
 HEARTBEAT_SECONDS = 1.5  # heartbeat-s
 CHECK_IN_TIMEOUT_SECONDS = 1.0
 RESTART_DELAY_SECONDS = 0.5
@@ -29,6 +30,7 @@
 FAILURE_PAUSE_SECONDS = 0.5  # where it isn't told when to come back
 CLOSE_SECONDS = 0.2  # for connections to end
 READY_TIMEOUT_SECONDS = 20
+DESCRIPTORS = 4100  # limits.file-descriptors
 BOUNDS = {"grace-period-s": 6, "budget-ratio": 0.2, "budget-slack": 48}
 COLD_SLOWDOWN = 2  # times as long while an endpoint is cold
 TOUCH_SECONDS = 3.0  # touch-s
@@ -54,23 +56,23 @@
     def __call__(self, text):
         self.file.write(f"{time.monotonic() - self.began:9.3f} {text}\n")
 
-    def since_start(self, at):
-        return at - self.began
 
+_next_port = random.randrange(FIRST_PORT, LAST_PORT, PORTS_PER_RUN)
 
-def free_ports(count, taken=set()):
+
+def free_ports(count):
+    """Returns ports of this run that nobody listens on."""
+    global _next_port
     ports = []
     while len(ports) < count:
-        port = random.randint(FIRST_PORT, LAST_PORT)
-        if port in taken:
-            continue
+        _next_port = (_next_port + 1 if _next_port < LAST_PORT
+                      else FIRST_PORT)
         with socket.socket() as s:
             try:
-                s.bind((HOST, port))
+                s.bind((HOST, _next_port))
             except OSError:
                 continue
-        taken.add(port)
-        ports.append(port)
+        ports.append(_next_port)
     return ports
 
 
@@ -392,7 +394,7 @@
     """A node's process, as the platform starts and restarts it."""
 
     def __init__(self, name, service, store_port, record, directory,
-                 zone="dc-a", descriptors=4100, **endpoint):
+                 zone="dc-a", **endpoint):
         self.name, self.record = name, record
         (self.callers, self.ready, control, inbound, target, peers,
          metrics) = free_ports(7)
@@ -413,7 +415,7 @@
             "internal-port-range.1": metrics,
             "platform.address": f"{HOST}:{store_port}",
             "heartbeat-s": HEARTBEAT_SECONDS,
-            "limits.file-descriptors": descriptors,
+            "limits.file-descriptors": DESCRIPTORS,
             **{f"bounds.{k}": v for k, v in BOUNDS.items()}}
         self.write_settings()
         self.command = role["run"].split(" ")
@@ -461,11 +463,6 @@
             self.process.wait()
         self.log.close()
 
-    def memory_mb(self):
-        with open(f"/proc/{self.process.pid}/statm") as statm:
-            pages = int(statm.read().split()[1])
-        return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
-
     async def is_ready(self):
         try:
             reader, writer = await asyncio.open_connection(HOST, self.ready)
@@ -508,7 +505,8 @@
         for node in self.nodes:
             while not await node.is_ready():
                 if time.monotonic() > deadline:
-                    raise CannotRun(f"{node.name} is not ready")
+                    raise CannotRun(f"{node.name} is not ready, its exit "
+                                    f"status is {node.process.poll()}")
                 await asyncio.sleep(0.05)
 
     def spawn(self, work):
@@ -516,6 +514,8 @@
         return self.tasks[-1]
 
     async def stop(self):
+        for node in self.nodes:
+            node.stop()
         running = set(self.tasks)
         while running:
             # Again, as `wait_for` may lose a cancellation.
@@ -523,7 +523,6 @@
                 task.cancel()
             _, running = await asyncio.wait(running, timeout=0.1)
         for node in self.nodes:
-            node.stop()
             node.endpoint.end()
         self.store.end()
         for client in Client.clients:
@@ -639,9 +638,11 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(script).resolve().parent / "record.txt")
     record(f"trouble: {'yes' if trouble else 'no'}")
+    # So that the nodes are ended even if the script is.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         held = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
-    except Exception as e:  # whatever it is, the rule was not tried
+    except (Exception, KeyboardInterrupt) as e:  # whatever it is, the rule was not tried
         record(f"could not run: {e!r}")
         print(f"could not run: {e!r}")
         return 2
