Target stage: the settings name the service, not a check-in

Cause: a node took the service of its target from whatever check-in was newest and had the target's address. The settings, which the platform writes, name that service; the check-in was believed instead of compared. As the foreign one had a later start time, the endpoint's own then looked outdated.

Also looked at: rows of members (read at the start only and refuted by the member itself), notices of peers (behind the fleet's secret).

Change: announcements of another service or data centre than the settings name change nothing and are refused with 400. Where they differ the node first reads its settings again, so that an address that has got another service is used with the next check-in. A service that changes in the settings ends the earlier target: what waits for it is refused as not run.

--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -181,9 +181,25 @@
   m_local_target.on_result(run, std::move(result));
 }
 
-void routed_node::on_target_announce(const target_announcement& a) {
+bool routed_node::on_target_announce(const target_announcement& a) {
+  if (!is_local_target(a)) {
+    m_hooks.log(event_id::announcement_ignored,
+                {{"instance", a.instance},
+                 {"service", a.service},
+                 {"data_centre", a.data_centre}});
+    return false;
+  }
   m_local_target.on_announce(a);
   update_target_state();
+  return true;
+}
+
+bool routed_node::is_local_target(const target_announcement& a) const {
+  const node_identity& self = m_options.self;
+  const bool same_service = a.service.empty() || a.service == self.service;
+  const bool same_data_centre =
+      a.data_centre.empty() || a.data_centre == self.data_centre;
+  return same_service && same_data_centre;
 }
 
 void routed_node::on_target_leave(const std::string& instance,
@@ -193,10 +209,13 @@
 }
 
 void routed_node::set_options(const routed_options& o) {
-  const node_identity self = m_options.self;
+  node_identity self = m_options.self;
+  self.service = o.self.service;
   m_options = o;
   m_options.self = self;
   m_fleet_size = 0;
+  m_local_target.set_service(self.service);
+  update_target_state();
 }
 
 bool routed_node::ready() const {
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -63,11 +63,19 @@
   void on_peer_unresponsive(const std::string& peer, bool unresponsive);
 
   void on_target_result(std::uint64_t run, target_result result);
-  void on_target_announce(const target_announcement& a);
+  /// Returns whether the announcement is of the target beside this node.
+  /// Another one changes nothing.
+  bool on_target_announce(const target_announcement& a);
   void on_target_leave(const std::string& instance,
                        std::uint64_t start_time_ms);
 
-  /// Applies changed settings; the identity of the node is kept.
+  /// Whether the announcement names the service and the data centre that the
+  /// settings give the target beside this node. Others come from another
+  /// writer, or from an earlier target of the address.
+  bool is_local_target(const target_announcement& a) const;
+
+  /// Applies changed settings; the identity of the node is kept but for the
+  /// service of its target.
   void set_options(const routed_options& o);
 
   /// Whether callers may send requests to this node.
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -73,7 +73,7 @@
                          {"rate_per_s", std::to_string(rate_per_s)},
                          {"failed_part", std::to_string(failed)}});
           }),
-      m_service(m_options.service), m_notices(m_hooks.log) {
+      m_notices(m_hooks.log) {
   if (!m_options.protocol.is_not_run_answer) {
     m_options.protocol.is_not_run_answer = has_not_run_verdict;
   }
@@ -183,13 +183,20 @@
   m_announced_at = m_clock.now;
   // Its heartbeats may still report a target in service.
   m_target_draining = a.draining || m_notices.leaving();
-  m_service = a.service.empty() ? m_options.service : a.service;
   m_max_concurrency = a.max_concurrency;
   update_cold_start(a, new_instance);
   m_ready = true;
   start_queued();
 }
 
+void target_stage::set_service(const std::string& service) {
+  if (service != m_options.service) {
+    m_options.service = service;
+    m_crash_detector.on_instance_ended(m_clock.now);
+    stop_sending();
+  }
+}
+
 void target_stage::on_deregister(const std::string& instance,
                                  std::uint64_t start_time_ms) {
   if (!is_credible_start(instance, start_time_ms)) {
@@ -406,7 +413,7 @@
   if (m_draining || m_target_draining || m_out_of_service) {
     return reason::draining;
   }
-  if (!m_ready || request.service != m_service) {
+  if (!m_ready || request.service != m_options.service) {
     return reason::no_target;
   }
   if (deadline <= m_clock.now) {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -81,7 +81,8 @@
   std::uint64_t start_time_ms = 0;
   /// Increases with each announcement of an instance; 0 if not announced.
   std::uint64_t sequence = 0;
-  std::string service; ///< empty: the service in the settings
+  std::string service;     ///< empty: the service in the settings
+  std::string data_centre; ///< empty: not announced
   bool draining = false;
   std::size_t max_concurrency = 0; ///< requests; 0: unknown
   duration cold_time_left{0};      ///< until it can take its full load
@@ -154,6 +155,10 @@
   /// Handles an announcement of the target. Outdated ones are ignored.
   void on_announce(const target_announcement& a);
 
+  /// Applies a change of the settings: the address belongs to a target of this
+  /// service from now on. Requests that wait for the earlier one are refused.
+  void set_service(const std::string& service);
+
   /// Handles the deregistration of an instance of the target. It receives no
   /// more requests until another instance announces itself.
   void on_deregister(const std::string& instance, std::uint64_t start_time_ms);
@@ -199,8 +204,8 @@
   /// The concurrency that other nodes balance by: limit(), or what the rate
   /// that the target asks for keeps busy, if that is less.
   std::size_t capacity() const;
-  /// The announced service of the target.
-  const std::string& service() const { return m_service; }
+  /// The service of the target, from the settings.
+  const std::string& service() const { return m_options.service; }
   const std::string& instance() const { return m_instance; }
   bool idle() const { return m_runs.empty() && m_queue.size() == 0; }
   /// What the target states about itself.
@@ -312,7 +317,6 @@
   std::uint64_t m_last_id = 0;                     ///< of tickets and runs
   std::uint64_t m_suspect_run = 0;                 ///< 0: none
   std::size_t m_silent_runs = 0;                   ///< of `m_runs`
-  std::string m_service;
   std::string m_instance;
   std::uint64_t m_start_time_ms = 0;
   std::uint64_t m_sequence = 0;
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -196,8 +196,10 @@
   if (a->deregisters) {
     refresh_clock().on_target_leave(a->target.instance,
                                     a->target.start_time_ms);
-  } else {
-    refresh_clock().on_target_announce(a->target);
+  } else if (!accept_announcement(a->target)) {
+    send(plain_response(http_status::bad_request, "text/plain",
+                        "not the target of this node\n"));
+    return;
   }
   send(plain_response(http_status::ok, "application/json", "{}"));
 }
@@ -206,6 +208,14 @@
   refresh_clock().tick();
   if (m_node->clock().now - m_peers_checked_at >= peer_check_period) {
     m_peers_checked_at = m_node->clock().now;
+bool routed_daemon::accept_announcement(const target_announcement& a) {
+  if (!m_node->is_local_target(a)) {
+    // The address may have got a target of another service.
+    reload_settings();
+  }
+  return refresh_clock().on_target_announce(a);
+}
+
     m_peer_network->tick();
   }
   if (m_node->clock().now - m_settings_checked_at >= settings_check_period) {
--- a/src/kingcupslip/daemon/routed_daemon.hpp
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -62,6 +62,9 @@
   void on_caller_request(caller_request request, const response_sender& send);
   void on_announcement(const caller_request& request,
                        const response_sender& send);
+  /// Returns whether the announcement is of the target beside this node, as
+  /// the present settings name it.
+  bool accept_announcement(const target_announcement& a);
   void tick();
   void wait_for_signal();
   /// Applies the settings that can change while the process runs: limits and
