Platform: check-ins and goodbyes that lack a field are of another writer

A check-in without a data centre or a version, with a start time of another type, or with an empty or unreadable id was taken for the target's, and displaced it. A goodbye whose body cannot be read made all earlier instances of its name leave.

Cause: the adapter read the fields that the core uses and took a start time of another type for none. PROTOCOL.md: fields missing or of another type name no endpoint.

--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -451,7 +451,69 @@
         yield "not JSON", n.call(n.control, "POST",
                                  "/Instances.Heartbeat/i-x", b"\xff{")[0]
         yield "another address", n.send_heartbeat(address="127.0.0.1:1")
-        yield "still served", self.send("/safe/a")[0]
+        newer = {"born": int(time.time() * 1000), "sequence": 1}
+        for field, value in (("service", "reports"), ("zone", "dc-b"),
+                             ("zone", None), ("version", 7),
+                             ("born", str(newer["born"]))):
+            body = json.dumps(n.endpoint.next_heartbeat(
+                **{**newer, field: value})).encode()
+            yield f"{field} {value if field != 'born' else 'a text'}", n.call(
+                n.control, "POST", "/Instances.Heartbeat/i-x", body)[0]
+        yield "unreadable goodbye", n.call(
+            n.control, "POST", "/Instances.Deregister/" + n.endpoint.instance,
+            b"\xff{")[0]
+        before = len(n.endpoint.requests)
+        yield "still served", {self.send("/safe/a")[0] for _ in range(20)}
+        yield "still used", len(n.endpoint.requests) > before
+        yield "caller service", {
+            s[2]["x-kingcupslip-caller-service"]
+            for s in self.requests_seen()[-20:]}
+
+    def endless_bytes(self):
+        """Callers and a store whose bytes do not end: memory is bounded."""
+        n = self.nodes[0]
+        head = (b"POST /safe/a HTTP/1.1\r\nHost: h.example\r\n"
+                b"X-Kingcupslip-Request-Id: q\r\n")
+        body = b"Content-Length: 8000000\r\n\r\n" + bytes(7_000_000)
+        for name, data, count in (("bodies", head + body, 40),
+                                  ("heads", head + b"A: " + b"a" * 15_000,
+                                   1000)):
+            held = []
+            for _ in range(count):
+                held.append(socket.create_connection(
+                    ("127.0.0.1", n.callers), 10))
+                held[-1].setblocking(False)
+            pending = {s: data for s in held}
+            deadline = time.monotonic() + 3
+            while pending and time.monotonic() < deadline:
+                for s in list(pending):
+                    try:
+                        pending[s] = pending[s][s.send(pending[s][:1 << 18]):]
+                        if not pending[s]:
+                            del pending[s]
+                    except BlockingIOError:
+                        pass
+                    except OSError:
+                        del pending[s]
+            yield f"served beside {name}", {self.send("/safe/a")[0]
+                                            for _ in range(10)}
+            for s in held:
+                s.close()
+        yield "event", n.event_count("caller_memory_full") > 0
+        for name, text in (("arrays", b"[" + b"[]," * 1_300_000 + b"0]"),
+                           ("deep", b"[" * 3_900_000)):
+            lost_before = n.event_count("table_lost")
+            self.store.foreign_answer = text
+            self.store.put("op", "unread", {})
+            yield f"served beside {name}", self.wait(
+                lambda: n.event_count("table_lost") > lost_before
+                and self.send("/safe/a")[0] == 200)
+            self.store.foreign_answer = None
+            yield f"store is back after {name}", self.wait(
+                lambda: n.event_count("table_regained")
+                >= n.event_count("table_lost"))
+        yield "peak memory below 160 MB", n.peak_memory_kb() < 160_000
+        yield "same process", n.process.poll()
 
     def changes(self):
         """Versions of the desired state, lost history, an evacuation."""
