Target stage: a goodbye of another instance hides no earlier one

The node remembered the last goodbye only. One of another instance took its place, and a late announcement of the target that had really left brought it back (DRAIN).

Cause: one slot for departures, written by any goodbye.

foreign_announcement.a_goodbye_of_another_instance_hides_no_other failed before (the departed instance took the place of its successor). Found by reading.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -204,14 +204,14 @@
   }
   const bool start_time_known = start_time_ms != 0;
   const bool is_current_instance = instance == m_instance;
-  m_left_instance = instance;
   // If neither the deregistration nor an announcement has given the start time
   // of the instance, all instances of the name that started before now have
   // left.
-  m_left_start_time_ms = start_time_known ? start_time_ms
-                         : is_current_instance
-                             ? m_start_time_ms
-                             : static_cast<std::uint64_t>(m_clock.wall.count());
+  const std::uint64_t left_start_time_ms =
+      start_time_known      ? start_time_ms
+      : is_current_instance ? m_start_time_ms
+                            : static_cast<std::uint64_t>(m_clock.wall.count());
+  m_departed.add(instance, left_start_time_ms, is_current_instance);
   if (instance == m_instance &&
       (!start_time_known || start_time_ms == m_start_time_ms)) {
     m_target_draining = true;
@@ -220,7 +220,7 @@
     stop_sending();
   } else if (m_instance.empty()) {
     // Announced to an earlier process of this node.
-    m_notices.on_new_instance(instance, m_left_start_time_ms, m_clock.now);
+    m_notices.on_new_instance(instance, left_start_time_ms, m_clock.now);
     m_notices.on_goodbye(m_clock.now);
   }
 }
@@ -239,9 +239,8 @@
 }
 
 bool target_stage::is_outdated(const target_announcement& a) const {
-  const bool has_left =
-      a.instance == m_left_instance && a.start_time_ms <= m_left_start_time_ms;
-  if (has_left || a.start_time_ms < m_start_time_ms) {
+  const bool started_earlier = a.start_time_ms < m_start_time_ms;
+  if (m_departed.contains(a.instance, a.start_time_ms) || started_earlier) {
     // Sent by an instance that has ended, and delayed in transit.
     return true;
   }
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -5,6 +5,7 @@
 #include "kingcupslip/core/admission_queue.hpp"
 #include "kingcupslip/core/concurrency_limit.hpp"
 #include "kingcupslip/core/crash_detector.hpp"
+#include "kingcupslip/core/departed_instances.hpp"
 #include "kingcupslip/core/downstream_limit.hpp"
 #include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/outcome.hpp"
@@ -320,8 +321,7 @@
   std::string m_instance;
   std::uint64_t m_start_time_ms = 0;
   std::uint64_t m_sequence = 0;
-  std::string m_left_instance;
-  std::uint64_t m_left_start_time_ms = 0;
+  departed_instances m_departed;
   /// Counts the instances of the target. An answer of an earlier instance says
   /// nothing about the current one.
   std::uint64_t m_instance_number = 0;
--- a/tests/core/foreign_announcement_test.cpp
+++ b/tests/core/foreign_announcement_test.cpp
@@ -103,6 +103,31 @@
   CHECK(f.at("a1").on_target_announce(foreign));
 }
 
+// Only the last goodbye was remembered: after one of another instance, a late
+// announcement of a target that had left displaced its successor. Targets that
+// state no start time differ by their names only.
+TEST(foreign_announcement, a_goodbye_of_another_instance_hides_no_other) {
+  routed_fleet f(44);
+  build_routed_fleet(f, 1);
+  f.announcing = false;
+  f.kill("a1");
+  f.restart_node("a1");
+  target_announcement own = announcement_of("i", f.at("a1"));
+  own.start_time_ms = 0;
+  target_announcement successor = own;
+  successor.instance = "successor";
+  f.at("a1").on_target_announce(own);
+  f.at("a1").on_target_leave("i", 0);
+  f.at("a1").on_target_announce(successor);
+  for (int n = 0; n < 1000; ++n) {
+    f.at("a1").on_target_leave("x" + std::to_string(n), 0);
+  }
+  own.sequence = 9;
+  f.at("a1").on_target_announce(own);
+  STRCMP_EQUAL("successor", f.at("a1").target().instance().c_str());
+  CHECK(f.at("a1").target().ready());
+}
+
 // A goodbye of an instance that is not the target's must not stop it.
 TEST(foreign_announcement, a_goodbye_of_another_instance_stops_no_target) {
   routed_fleet f(45);
