Target stage: an instance that is not there hides no earlier one

A check-in that is sound in all fields, with a later start, of an instance that is not at the address: the target there answers each request with 421, as it should, and its own check-ins were taken for those of an instance that had ended. It got nothing until its node restarted.

Cause: the start time of an announced instance was believed even after the address itself had stated that the instance is not there.

Change: a 421 to a request for the current instance disproves it; an earlier start may then announce itself again. A late check-in of an instance that has ended can be taken for the target in this state only, and is disproved in the same way by the first request, which does not run.

foreign_announcement.an_instance_that_is_not_there_hides_no_earlier_one failed before.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -137,6 +137,7 @@
   }
   const bool unreachable =
       result.end == exchange_end::not_connected && !r.cancelled;
+  m_instance_disproved |= moved && r.instance_number == m_instance_number;
   if (moved || unreachable) {
     // No requests are sent until the target announces itself again.
     stop_sending();
@@ -178,6 +179,7 @@
     m_crash_detector.on_instance_ended(m_clock.now);
   }
   m_instance = a.instance;
+  m_instance_disproved = false;
   m_start_time_ms = a.start_time_ms;
   m_sequence = a.sequence;
   m_announced_at = m_clock.now;
@@ -239,7 +241,8 @@
 }
 
 bool target_stage::is_outdated(const target_announcement& a) const {
-  const bool started_earlier = a.start_time_ms < m_start_time_ms;
+  const bool started_earlier =
+      a.start_time_ms < m_start_time_ms && !m_instance_disproved;
   if (m_departed.contains(a.instance, a.start_time_ms) || started_earlier) {
     // Sent by an instance that has ended, and delayed in transit.
     return true;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -321,6 +321,8 @@
   std::string m_instance;
   std::uint64_t m_start_time_ms = 0;
   std::uint64_t m_sequence = 0;
+  /// The target at the address has stated that it is not `m_instance`.
+  bool m_instance_disproved = false;
   departed_instances m_departed;
   /// Counts the instances of the target. An answer of an earlier instance says
   /// nothing about the current one.
--- a/tests/core/foreign_announcement_test.cpp
+++ b/tests/core/foreign_announcement_test.cpp
@@ -197,3 +197,43 @@
   CHECK(f.at("a1").target().ready());
   STRCMP_EQUAL("other", f.at("a1").target().service().c_str());
 }
+
+// After an instance that never was at the address, which said so, the target
+// that is there was taken for one that had ended before.
+TEST(foreign_announcement, an_instance_that_is_not_there_hides_no_earlier_one) {
+  constexpr std::uint16_t moved_status = 421;
+  clock_reading clock;
+  clock.wall = wall_time(1'700'000'000'000);
+  quarantine crashes;
+  std::uint64_t run = 0;
+  target_options options;
+  options.service = "svc";
+  options.protocol.is_moved_answer = [](const target_result& r) {
+    return r.status == moved_status;
+  };
+  target_hooks hooks;
+  hooks.run = [&run](std::uint64_t id, const target_request&) { run = id; };
+  hooks.cancel = [](std::uint64_t) {};
+  hooks.log = [](event_id, const event_fields&) {};
+  target_stage stage(options, hooks, clock, crashes);
+  target_announcement own;
+  own.instance = "own";
+  own.start_time_ms = 1000;
+  own.sequence = 1;
+  stage.on_announce(own);
+  target_announcement foreign = own;
+  foreign.instance = "x";
+  foreign.start_time_ms = 2000;
+  stage.on_announce(foreign);
+  own.sequence = 2;
+  stage.on_announce(own);
+  STRCMP_EQUAL("x", stage.instance().c_str());
+  wire::callT call;
+  call.service = "svc";
+  stage.submit(std::move(call), clock.now + seconds(1), [](const outcome&) {});
+  stage.on_result(run, {exchange_end::answered, moved_status, {}, {}});
+  own.sequence = 3;
+  stage.on_announce(own);
+  CHECK(stage.ready());
+  STRCMP_EQUAL("own", stage.instance().c_str());
+}
