HTTP client: what is not parsed yet counts towards the sum

Answers that do not end are bounded for one connection (a head, a chunk line or a trailer of 64 KB, a body of 8 MB), and all bodies together at 32 MB, but heads and lines that were not complete counted for nothing. A thousand runs at an endpoint that sends a head without end held 64 MB at a node of 160 MB.

Cause: Beast's read of a part returns only when a head or a chunk line is complete, so that the client did not see what its buffer held until then.

Change: message_read.hpp reads once and parses what has arrived; the sum counts buffers, heads and the capacity of bodies. Bodies of a known length grow to that length, no further. The sum can be set for each client.

--- a/src/kingcupslip/net/bounded_body.hpp
+++ b/src/kingcupslip/net/bounded_body.hpp
@@ -4,6 +4,7 @@
 
 #include "kingcupslip/core/outcome.hpp"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/error.hpp>
@@ -35,6 +36,7 @@
       if (length && *length > m_body.max_bytes) {
         ec = boost::beast::http::error::body_limit;
       }
+      m_length = length;
     }
 
     template <class buffers>
@@ -45,6 +47,7 @@
         ec = boost::beast::http::error::body_limit;
         return 0;
       }
+      grow(m_body.bytes.size() + n);
       for (const boost::asio::const_buffer it :
            boost::beast::buffers_range_ref(received)) {
         const std::uint8_t* first = static_cast<const std::uint8_t*>(it.data());
@@ -56,7 +59,18 @@
     void finish(boost::system::error_code& ec) { ec = {}; }
 
   private:
+    /// Doubles the capacity, up to the announced length.
+    void grow(std::size_t size) {
+      const std::size_t capacity = m_body.bytes.capacity();
+      if (m_length && size > capacity) {
+        const std::size_t doubled = std::max(size, 2 * capacity);
+        m_body.bytes.reserve(std::min<std::uint64_t>(
+            doubled, std::max<std::uint64_t>(*m_length, size)));
+      }
+    }
+
     value_type& m_body;
+    boost::optional<std::uint64_t> m_length;
   };
 };
 
--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -2,6 +2,7 @@
 #include "kingcupslip/net/http_client.hpp"
 
 #include "kingcupslip/net/bounded_body.hpp"
+#include "kingcupslip/net/message_read.hpp"
 #include "kingcupslip/net/socket_options.hpp"
 
 #include <algorithm>
@@ -35,9 +36,6 @@
 /// For what is read but not parsed yet: a head, or a line or the trailer of a
 /// chunked body. Beast throws for a field of 64 KiB.
 constexpr std::size_t max_unparsed_bytes = max_header_bytes - 1;
-/// Of all responses that are being read. A target whose responses do not end
-/// must not use up the memory of the node.
-constexpr std::size_t max_buffered_response_bytes = 32UL * 1024 * 1024;
 /// Interim responses and those to other requests that may precede a response.
 constexpr std::size_t max_skipped_responses = 16;
 /// Of a request, that any target takes into its receive buffer.
@@ -167,27 +165,35 @@
 
   void read() {
     m_answer_bytes = 0;
+    m_head_bytes = 0;
     m_parser.emplace();
     m_parser->header_limit(max_header_bytes);
     m_parser->body_limit(m_client.m_max_response_bytes);
     m_parser->get().body().max_bytes = m_client.m_max_response_bytes;
     m_parser->skip(m_request.method() == http::verb::head);
+    error_code ec;
+    const std::size_t n = parse_buffered(m_buffer, *m_parser, ec);
+    if (ec || m_parser->is_done()) {
+      on_read_some(ec, n);
+      return;
+    }
+    m_answer_bytes += n;
     read_some();
   }
 
   void read_some() {
     const std::shared_ptr<http_exchange> self = shared_from_this();
-    http::async_read_some(*m_socket, m_buffer, *m_parser,
-                          [self](const error_code& ec, std::size_t n) {
-                            self->m_answer_bytes += n;
-                            self->m_read_error = ec;
-                            self->on_read_some(ec);
-                          });
+    async_read_part(*m_socket, m_buffer, *m_parser,
+                    [self](const error_code& ec, std::size_t n) {
+                      self->on_read_some(ec, n);
+                    });
   }
 
-  void on_read_some(const error_code& ec) {
+  void on_read_some(const error_code& ec, std::size_t n) {
+    m_answer_bytes += n;
+    m_read_error = ec;
     if (m_on_complete) {
-      set_buffered_bytes(m_parser->get().body().bytes.size());
+      set_buffered_bytes(held_bytes());
     }
     if (!ec && m_on_complete && !m_parser->is_done()) {
       read_some();
@@ -297,6 +303,16 @@
     read();
   }
 
+  /// What this exchange holds of responses: what is not parsed yet, the head
+  /// and the body. The parser takes a head when it is complete.
+  std::size_t held_bytes() {
+    if (!m_parser->is_header_done() || m_head_bytes == 0) {
+      m_head_bytes = m_answer_bytes;
+    }
+    return m_buffer.capacity() + m_head_bytes +
+           m_parser->get().body().bytes.capacity();
+  }
+
   /// May end this exchange, if its response takes most of the memory.
   void set_buffered_bytes(std::size_t n) {
     m_client.m_buffered_bytes += n;
@@ -346,6 +362,7 @@
   std::size_t m_buffered_bytes = 0;
   std::size_t m_skipped_responses = 0;
   std::size_t m_answer_bytes = 0; ///< that the parser has taken
+  std::size_t m_head_bytes = 0;   ///< of them, at most, in the head
   error_code m_read_error;
   header m_correlation_header;
   instant m_started_at{0};
@@ -358,9 +375,11 @@
 };
 
 http_client::http_client(io_loop& loop, tcp::endpoint endpoint, event_sink log,
-                         std::size_t max_response_bytes)
+                         std::size_t max_response_bytes,
+                         std::size_t max_buffered_bytes)
     : m_loop(loop), m_endpoint(std::move(endpoint)), m_log(std::move(log)),
-      m_max_response_bytes(max_response_bytes) {}
+      m_max_response_bytes(max_response_bytes),
+      m_max_buffered_bytes(max_buffered_bytes) {}
 
 http_client::~http_client() {
   const std::map<std::uint64_t, std::weak_ptr<http_exchange>> exchanges =
@@ -393,7 +412,7 @@
 }
 
 void http_client::limit_buffered_bytes() {
-  while (m_buffered_bytes > max_buffered_response_bytes) {
+  while (m_buffered_bytes > m_max_buffered_bytes) {
     std::shared_ptr<http_exchange> largest;
     for (const std::pair<const std::uint64_t, std::weak_ptr<http_exchange>>&
              it : m_exchanges) {
--- a/src/kingcupslip/net/http_client.hpp
+++ b/src/kingcupslip/net/http_client.hpp
@@ -29,9 +29,12 @@
 public:
   using result_handler = std::function<void(target_result)>;
 
+  /// `max_response_bytes`: of the body of one response. `max_buffered_bytes`:
+  /// of all responses that are being read, heads included.
   http_client(io_loop& loop, boost::asio::ip::tcp::endpoint endpoint,
               event_sink log = nullptr,
-              std::size_t max_response_bytes = 8UL * 1024 * 1024);
+              std::size_t max_response_bytes = 8UL * 1024 * 1024,
+              std::size_t max_buffered_bytes = 32UL * 1024 * 1024);
   ~http_client();
 
   /// Sends a request. Its `time_left` limits the whole exchange, response
@@ -75,6 +78,9 @@
   boost::asio::ip::tcp::endpoint m_endpoint;
   event_sink m_log;
   std::size_t m_max_response_bytes;
+  /// A server whose responses do not end must not use up the memory of the
+  /// node.
+  std::size_t m_max_buffered_bytes;
   std::uint64_t m_connections_opened = 0;
   std::size_t m_buffered_bytes = 0; ///< of responses that are being read
   std::list<idle_connection> m_idle;
--- a/tests/net/endless_response_test.cpp
+++ b/tests/net/endless_response_test.cpp
@@ -2,17 +2,12 @@
 // exchange takes are bounded, and its caller gets a result.
 #include "kingcupslip/net/http_client.hpp"
 
+#include "support/endless_server.hpp"
 #include "support/heap_bytes.hpp"
 
 #include <CppUTest/TestHarness.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
-
 #include <algorithm>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -21,64 +16,6 @@
 
 namespace {
 
-namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
-using error_code = boost::system::error_code;
-
-/// Answers each request with a text, followed by a repeated text until the
-/// client closes the connection.
-class endless_server {
-public:
-  endless_server(io_loop& loop, std::string first, const std::string& repeated)
-      : m_loop(loop), m_first(std::move(first)),
-        m_acceptor(loop, {asio::ip::address_v4::loopback(), 0}) {
-    while (m_block.size() < block_bytes) {
-      m_block += repeated;
-    }
-    accept();
-  }
-
-  tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
-
-private:
-  static constexpr std::size_t block_bytes = 64UL * 1024;
-  struct connection {
-    explicit connection(io_loop& loop) : socket(loop) {}
-    tcp::socket socket;
-    asio::streambuf request;
-  };
-
-  void accept() {
-    const std::shared_ptr<connection> c = std::make_shared<connection>(m_loop);
-    m_acceptor.async_accept(c->socket, [this, c](const error_code& ec) {
-      if (ec) {
-        return;
-      }
-      asio::async_read_until(c->socket, c->request, "\r\n\r\n",
-                             [this, c](const error_code& error, std::size_t) {
-                               if (!error) {
-                                 write(c, m_first);
-                               }
-                             });
-      accept();
-    });
-  }
-
-  void write(const std::shared_ptr<connection>& c, const std::string& text) {
-    asio::async_write(c->socket, asio::buffer(text),
-                      [this, c](const error_code& ec, std::size_t) {
-                        if (!ec) {
-                          write(c, m_block);
-                        }
-                      });
-  }
-
-  io_loop& m_loop;
-  std::string m_first;
-  std::string m_block;
-  tcp::acceptor m_acceptor;
-};
-
 struct endless_case {
   const char* name;
   std::string first;
@@ -97,16 +34,13 @@
 /// A node has 160 MB or more, of which answers may take a part.
 constexpr std::size_t max_memory_growth = 64UL * 1024 * 1024;
 
-/// Sends requests to a server of this kind and checks that each of them ends
-/// in time, that no answer is made of the bytes, and how much memory they took.
-void check_ends(const endless_case& c) {
-  io_loop loop;
-  endless_server server(loop, c.first, c.repeated);
-  http_client client(loop, server.endpoint());
-  std::vector<target_result> results;
+/// Sends requests to a server and returns how much memory they took until the
+/// last of them ended, or until they should have.
+std::size_t memory_growth(io_loop& loop, http_client& client, std::size_t n,
+                          std::vector<target_result>& results) {
   const std::size_t heap_before = heap_bytes();
   const instant started_at = read_clocks().now;
-  for (std::size_t i = 0; i < concurrent_requests; ++i) {
+  for (std::size_t i = 0; i < n; ++i) {
     target_request r;
     r.method = "GET";
     r.path = "/";
@@ -118,11 +52,23 @@
   }
   std::size_t growth = 0;
   const instant end = started_at + time_left + scheduling_slack;
-  while (results.size() < concurrent_requests && read_clocks().now < end) {
+  while (results.size() < n && read_clocks().now < end) {
     loop.run_one_for(milliseconds(10));
     const std::size_t now_used = heap_bytes();
     growth = std::max(growth, now_used - std::min(now_used, heap_before));
   }
+  return growth;
+}
+
+/// Sends requests to a server of this kind and checks that each of them ends
+/// in time, that no answer is made of the bytes, and how much memory they took.
+void check_ends(const endless_case& c) {
+  io_loop loop;
+  endless_server server(loop, c.first, c.repeated);
+  http_client client(loop, server.endpoint());
+  std::vector<target_result> results;
+  const std::size_t growth =
+      memory_growth(loop, client, concurrent_requests, results);
   LONGS_EQUAL_TEXT(concurrent_requests, results.size(), c.name);
   CHECK_TEXT(growth <= max_memory_growth, c.name);
   for (const target_result& r : results) {
@@ -144,6 +90,23 @@
   check_ends({"header lines", ok_line, "A: b\r\n"});
 }
 
+// Heads that were not complete counted for nothing: a thousand of them took 64
+// MB, each within its own bound.
+TEST(endless_response, heads_without_end_are_bounded_in_their_sum) {
+  constexpr std::size_t requests = 200;
+  constexpr std::size_t max_buffered_bytes = 2UL * 1024 * 1024;
+  /// Sockets, timers and the request itself.
+  constexpr std::size_t exchange_bytes = 16UL * 1024;
+  io_loop loop;
+  endless_server server(loop, ok_line + "A: " + std::string(60'000, 'a'), "");
+  http_client client(loop, server.endpoint(), nullptr, max_buffered_bytes,
+                     max_buffered_bytes);
+  std::vector<target_result> results;
+  const std::size_t growth = memory_growth(loop, client, requests, results);
+  LONGS_EQUAL(requests, results.size());
+  CHECK_COMPARE(growth, <=, max_buffered_bytes + requests * exchange_bytes);
+}
+
 TEST(endless_response, a_body_without_a_length_and_end_ends_its_request) {
   check_ends({"no length", ok_line + "\r\n", "body"});
 }
