HTTP server: requests that are read or handled are bounded in their sum

Cause: each request was bounded, their sum was not.

Change: buffers, heads and bodies of requests count until they are answered. Beyond 32 MB the largest request that has not arrived in full is refused as memory_full: 503, not run, Retry-After 1 s. A quarter of it is left to requests of up to 64 KB, so that others are served beside large ones. Event 709 tells. An idle connection keeps no large buffer.

--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -64,6 +64,8 @@
       {event_id::answer_skipped, "answer_skipped", event_level::warning},
       {event_id::answer_incomplete, "answer_incomplete", event_level::warning},
       {event_id::run_silent, "run_silent", event_level::warning},
+      {event_id::caller_memory_full, "caller_memory_full",
+       event_level::warning},
   };
   return events;
 }
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -65,7 +65,8 @@
   caller_connection_cut = 705,
   answer_skipped = 706,
   answer_incomplete = 707,
-  run_silent = 708
+  run_silent = 708,
+  caller_memory_full = 709
 };
 
 struct event_info {
--- a/src/kingcupslip/net/http_server.cpp
+++ b/src/kingcupslip/net/http_server.cpp
@@ -2,9 +2,11 @@
 #include "kingcupslip/net/http_server.hpp"
 
 #include "kingcupslip/net/bounded_body.hpp"
+#include "kingcupslip/net/message_read.hpp"
 #include "kingcupslip/net/problem.hpp"
 #include "kingcupslip/net/socket_options.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -31,6 +33,9 @@
 /// at most this many times the limit of a head.
 constexpr std::size_t unparsed_heads = 2;
 
+/// Of a connection without a request.
+constexpr std::size_t max_idle_buffer_bytes = 4UL * 1024;
+
 /// How long, and how many bytes of what a caller sends are discarded after an
 /// answer that ends its connection.
 constexpr std::chrono::milliseconds discard_timeout{2000};
@@ -39,6 +44,9 @@
 /// their callers to close.
 constexpr std::size_t max_connections_beyond_limit = 64;
 
+/// When a caller whose request found no memory may try again.
+constexpr std::chrono::milliseconds memory_retry_after{1000};
+
 /// How long the server waits before it accepts again after a failure.
 constexpr std::chrono::milliseconds accept_retry_period{50};
 
@@ -108,6 +116,8 @@
   http_session& operator=(const http_session&) = delete;
   ~http_session() {
     set_idle(false);
+    set_reading(false);
+    set_request_bytes(0);
     uncount_answer();
     set_unanswered(false);
     --m_state->open_connections;
@@ -130,6 +140,9 @@
       read_request();
       return;
     }
+    if (m_buffer.capacity() > max_idle_buffer_bytes) {
+      m_buffer.shrink_to_fit();
+    }
     start_timer(m_limits.idle_timeout, &http_session::on_idle_timeout);
     set_idle(true);
     const std::shared_ptr<http_session> self = shared_from_this();
@@ -180,14 +193,100 @@
     m_parser->body_limit(m_limits.max_body_bytes);
     m_parser->get().body().max_bytes = m_limits.max_body_bytes;
     m_timed_out = false;
+    m_refused_for_memory = false;
     m_is_head_request = false;
+    m_head_bytes = 0;
+    set_reading(true);
     start_timer(m_limits.request_timeout, &http_session::on_request_timeout);
+    error_code ec;
+    const std::size_t n = parse_buffered(m_buffer, *m_parser, ec);
+    ec || m_parser->is_done() ? on_read_some(ec, n) : read_some();
+  }
+
+  void read_some() {
     const std::shared_ptr<http_session> self = shared_from_this();
-    http::async_read(m_socket, m_buffer, *m_parser,
-                     [self](const error_code& ec, std::size_t) {
-                       self->stop_timer();
-                       self->on_read(ec);
-                     });
+    async_read_part(m_socket, m_buffer, *m_parser,
+                    [self](const error_code& ec, std::size_t n) {
+                      self->on_read_some(ec, n);
+                    });
+  }
+
+  void on_read_some(const error_code& ec, std::size_t n) {
+    if (m_head_bytes == 0) {
+      // The parser takes a head when it is complete.
+      m_head_bytes = n;
+    }
+    if (!m_refused_for_memory) {
+      set_request_bytes(m_buffer.capacity() + m_head_bytes +
+                        m_parser->get().body().bytes.capacity());
+      limit_request_bytes();
+    }
+    if (!ec && !m_refused_for_memory && !m_parser->is_done()) {
+      read_some();
+      return;
+    }
+    set_reading(false);
+    stop_timer();
+    if (m_refused_for_memory) {
+      refuse(reason::memory_full, memory_retry_after);
+      return;
+    }
+    on_read(ec);
+  }
+
+  void set_reading(bool is_reading) {
+    if (m_is_reading == is_reading) {
+      return;
+    }
+    m_is_reading = is_reading;
+    if (is_reading) {
+      m_reading_position =
+          m_state->reading.insert(m_state->reading.end(), this);
+    } else {
+      m_state->reading.erase(m_reading_position);
+    }
+  }
+
+  void set_request_bytes(std::size_t n) {
+    m_state->request_bytes += n;
+    m_state->request_bytes -= std::exchange(m_request_bytes, n);
+  }
+
+  /// Refuses requests that are being read, the largest first, as long as the
+  /// requests take too much memory.
+  void limit_request_bytes() {
+    const std::size_t large_requests_limit =
+        m_limits.max_request_bytes - m_limits.max_request_bytes / 4;
+    while (m_state->request_bytes > large_requests_limit) {
+      const auto largest =
+          std::max_element(m_state->reading.begin(), m_state->reading.end(),
+                           [](const http_session* a, const http_session* b) {
+                             return a->m_request_bytes < b->m_request_bytes;
+                           });
+      const bool has_room =
+          largest == m_state->reading.end() ||
+          (m_state->request_bytes <= m_limits.max_request_bytes &&
+           (*largest)->m_request_bytes <= m_limits.large_request_bytes);
+      if (has_room) {
+        return;
+      }
+      (*largest)->refuse_for_memory();
+    }
+  }
+
+  /// The handler of the pending read answers.
+  void refuse_for_memory() {
+    if (m_hooks->log) {
+      m_hooks->log(event_id::caller_memory_full,
+                   {{"connection", std::to_string(m_id)},
+                    {"bytes", std::to_string(m_request_bytes)},
+                    {"all_bytes", std::to_string(m_state->request_bytes)}});
+    }
+    error_code ignored;
+    m_refused_for_memory = true;
+    set_reading(false);
+    set_request_bytes(0);
+    m_socket.cancel(ignored);
   }
 
   void on_request_timeout() {
@@ -262,13 +361,16 @@
   void end_watch() {
     error_code ignored;
     m_handling_request = false;
+    set_request_bytes(0);
     stop_timer();
     m_socket.cancel(ignored);
   }
 
-  void refuse(reason why) {
+  void refuse(reason why, std::chrono::milliseconds retry_after = {}) {
     m_keep_alive = false;
-    respond(refusal(why));
+    m_parser.reset();
+    set_request_bytes(0);
+    respond(refusal(why, verdict::not_run, retry_after));
   }
 
   void respond(outcome o) {
@@ -422,6 +524,7 @@
   /// A pending write keeps the answer until its handler has run.
   void close() {
     set_idle(false);
+    set_request_bytes(0);
     uncount_answer();
     set_unanswered(false);
     error_code ignored;
@@ -447,6 +550,12 @@
   bool m_holds_answer = false;
   std::list<http_session*>::iterator m_idle_position; ///< if it is idle
   bool m_is_idle = false;
+  /// Counted in the shared state.
+  std::size_t m_request_bytes = 0;
+  std::size_t m_head_bytes = 0; ///< at most, of the request's head
+  std::list<http_session*>::iterator m_reading_position; ///< if it is reading
+  bool m_is_reading = false;
+  bool m_refused_for_memory = false;
   int m_undelivered_bytes = 0;
   bool m_keep_alive = true;
   bool m_keep_open = false;
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -35,6 +35,11 @@
   /// Memory for the bodies of answers that callers have not taken yet. Beyond
   /// it, the connections whose answers have waited longest are closed.
   std::size_t max_answer_bytes = 32UL * 1024 * 1024;
+  /// Memory for requests that are being read or handled, heads included. Beyond
+  /// it, the largest one that has not arrived in full is refused. A quarter is
+  /// left to requests of up to `large_request_bytes`.
+  std::size_t max_request_bytes = 32UL * 1024 * 1024;
+  std::size_t large_request_bytes = 64UL * 1024;
 };
 
 /// Sends the response to one request. Must be called exactly once, on the
@@ -93,6 +98,10 @@
     std::size_t open_connections = 0;
     std::size_t unanswered_requests = 0;
     std::size_t answer_bytes = 0; ///< of `answering`
+    /// Of requests that are being read or handled.
+    std::size_t request_bytes = 0;
+    /// Sessions that are reading a request.
+    std::list<http_session*> reading;
     /// Sessions without a request, the one that has been idle longest first.
     std::list<http_session*> idle;
     /// Sessions that write an answer, the oldest answer first.
