Target stage: bodies of waiting and running requests are bounded

Change: beyond 32 MB of bodies a call is refused as queue_full, which has not run and may go to another target. A quarter is left to bodies of up to 64 KB.

held_bodies.of_waiting_and_running_requests_are_bounded_in_their_sum failed without the bound (8 of 8 held where 3 fit).

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -97,8 +97,10 @@
   w.min_share_percent = request.min_share_percent;
   w.deadline = deadline;
   w.queued_at = m_clock.now;
-  m_queued_calls.emplace(
-      ticket, queued_call{std::move(request), deadline, std::move(handler)});
+  const std::size_t body_bytes = request.body.size();
+  m_body_bytes += body_bytes;
+  m_queued_calls.emplace(ticket, queued_call{std::move(request), deadline,
+                                             std::move(handler), body_bytes});
   std::vector<shed_request> to_shed;
   m_queue.offer(std::move(w), queue_capacity(), to_shed);
   shed(to_shed);
@@ -124,6 +126,7 @@
     return;
   }
   run r = std::move(it->second);
+  m_body_bytes -= r.body_bytes;
   update_limits(r, result);
   const bool moved = result.end == exchange_end::answered &&
                      m_options.protocol.is_moved_answer &&
@@ -424,6 +427,9 @@
   if (m_quarantine.is_quarantined(request.digest, m_clock.now)) {
     return reason::quarantined;
   }
+  if (!has_room_for_body(request.body.size())) {
+    return reason::queue_full;
+  }
   if (m_options.plain_forwarding) {
     return std::nullopt;
   }
@@ -455,6 +461,13 @@
   return std::nullopt;
 }
 
+bool target_stage::has_room_for_body(std::size_t body_bytes) const {
+  const std::size_t reserve = body_bytes > m_options.large_body_bytes
+                                  ? m_options.max_body_bytes / 4
+                                  : 0;
+  return m_body_bytes + body_bytes + reserve <= m_options.max_body_bytes;
+}
+
 void target_stage::start_queued() {
   std::vector<shed_request> to_shed;
   while (m_ready && m_clock.now < m_finish_by && busy() < max_running() &&
@@ -500,6 +513,7 @@
   r.deadline = std::min(call.deadline, m_finish_by);
   r.idempotent = call.request.idempotent;
   r.kind = call.request.host + first_segment(call.request.path);
+  r.body_bytes = call.body_bytes;
   r.handler = std::move(call.handler);
   if (m_quarantine.is_suspect(r.digest, m_clock.now)) {
     m_suspect_run = id;
@@ -534,6 +548,7 @@
     return;
   }
   const outcome_handler handler = std::move(it->second.handler);
+  m_body_bytes -= it->second.body_bytes;
   m_queued_calls.erase(it);
   handler(o);
 }
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -125,6 +125,11 @@
   std::string service;
   std::string fleet_secret;
   std::size_t max_in_flight = 1000;
+  /// Memory for the bodies of requests that are queued or running. Beyond it
+  /// requests are refused. A quarter is left to bodies of up to
+  /// `large_body_bytes`.
+  std::size_t max_body_bytes = 32UL * 1024 * 1024;
+  std::size_t large_body_bytes = 64UL * 1024;
   bool plain_forwarding = false; ///< baseline for benchmarks: no limits
   /// A target that has not announced itself for this long is unavailable.
   duration announce_timeout = std::chrono::milliseconds(2500);
@@ -220,6 +225,7 @@
     wire::callT request;
     instant deadline{0};
     outcome_handler handler;
+    std::size_t body_bytes = 0;
   };
   /// A request in progress at the target.
   struct run {
@@ -236,6 +242,7 @@
     bool idempotent = true;
     bool cancelled = false;
     bool silent = false; ///< the target does not work on it
+    std::size_t body_bytes = 0;
     outcome_handler handler;
   };
 
@@ -261,6 +268,8 @@
   void update_notices(const run& r, const target_result& result);
   /// Frees the places of runs that the target does not work on.
   void find_silent_runs();
+  /// Whether there is memory for one more body.
+  bool has_room_for_body(std::size_t body_bytes) const;
   /// Runs that the target works on.
   std::size_t busy() const { return m_runs.size() - m_silent_runs; }
   void log_failed_run(const run& r, const target_result& result, bool moved);
@@ -318,6 +327,7 @@
   std::uint64_t m_last_id = 0;                     ///< of tickets and runs
   std::uint64_t m_suspect_run = 0;                 ///< 0: none
   std::size_t m_silent_runs = 0;                   ///< of `m_runs`
+  std::size_t m_body_bytes = 0; ///< of queued and running requests
   std::string m_instance;
   std::uint64_t m_start_time_ms = 0;
   std::uint64_t m_sequence = 0;
