Peers: frames that do not end are bounded in their sum

What callers saw: nothing; from the report of endless bytes. A peer that has proved the fleet's secret could announce a frame of 10 MB and never send it: the memory was taken at once, for each connection, and kept for the connection's life after any large frame.

Change: memory grows with what has arrived; beyond 32 MB for all peers the connection with the largest unfinished frame is closed (frame_dropped). A large buffer is released with its frame.

--- a/src/kingcupslip/net/peer_network.cpp
+++ b/src/kingcupslip/net/peer_network.cpp
@@ -22,6 +22,8 @@
 /// Of the frames that are queued for all peers. A peer that reads slowly must
 /// not use up the memory of the node.
 constexpr std::size_t max_queued_bytes = 32UL * 1024 * 1024;
+/// Of the frames that are being received from all peers.
+constexpr std::size_t max_received_bytes = 32UL * 1024 * 1024;
 /// Between an attempt to accept a connection that failed and the next one.
 constexpr std::chrono::milliseconds accept_pause{50};
 
@@ -205,6 +207,24 @@
   }
 }
 
+void peer_network::limit_received_bytes() {
+  while (m_received_bytes > max_received_bytes) {
+    const auto largest = std::max_element(
+        m_sessions.begin(), m_sessions.end(),
+        [](const std::pair<peer_session* const, std::shared_ptr<peer_session>>&
+               a,
+           const std::pair<peer_session* const, std::shared_ptr<peer_session>>&
+               b) {
+          return a.second->received_bytes() < b.second->received_bytes();
+        });
+    if (largest == m_sessions.end()) {
+      return;
+    }
+    const std::shared_ptr<peer_session> s = largest->second;
+    s->drop_frame();
+  }
+}
+
 void peer_network::on_closed(peer_session& s) {
   m_sessions.erase(&s);
   const auto it = m_session_by_node.find(s.peer());
--- a/src/kingcupslip/net/peer_network.hpp
+++ b/src/kingcupslip/net/peer_network.hpp
@@ -90,6 +90,9 @@
   bool has_room_for(std::size_t n) const;
   void on_established(const std::shared_ptr<peer_session>& s);
   void on_closed(peer_session& s);
+  /// Closes the connections with the largest frames, as long as frames that
+  /// have not arrived in full take too much memory.
+  void limit_received_bytes();
 
   io_loop& m_loop;
   node_identity m_self;
@@ -102,6 +105,8 @@
   std::map<peer_session*, std::shared_ptr<peer_session>> m_sessions;
   std::uint64_t m_next_nonce = 0;
   std::size_t m_queued_bytes = 0; ///< in the send queues of all sessions
+  /// Of frames that have not arrived in full, of all sessions.
+  std::size_t m_received_bytes = 0;
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/net/peer_session.cpp
+++ b/src/kingcupslip/net/peer_session.cpp
@@ -4,6 +4,7 @@
 #include "kingcupslip/core/digest.hpp"
 #include "kingcupslip/net/socket_options.hpp"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -25,6 +26,8 @@
 constexpr duration idle_timeout = std::chrono::minutes(5);
 constexpr std::size_t max_handshake_frame_bytes = 4096;
 constexpr std::size_t max_queued_frames = 20'000;
+/// Memory for a frame grows with what has arrived of it.
+constexpr std::size_t min_frame_part_bytes = 64UL * 1024;
 
 } // namespace
 
@@ -136,6 +139,7 @@
     return;
   }
   m_closed = true;
+  set_received_bytes(0);
   set_unresponsive(false);
   m_timer.cancel();
   error_code ignored;
@@ -208,32 +212,67 @@
 }
 
 void peer_session::read_frame_body(std::size_t n) {
-  m_frame_body.resize(n);
+  m_frame_bytes = n;
+  m_frame_body.clear();
+  read_frame_part();
+}
+
+void peer_session::read_frame_part() {
+  const std::size_t received = m_frame_body.size();
+  const std::size_t n = std::min(m_frame_bytes - received,
+                                 std::max(min_frame_part_bytes, received));
+  m_frame_body.resize(received + n);
+  set_received_bytes(m_frame_body.capacity());
+  m_network->limit_received_bytes();
+  if (m_closed) {
+    return;
+  }
   const std::shared_ptr<peer_session> self = shared_from_this();
-  asio::async_read(m_socket, asio::buffer(m_frame_body),
+  asio::async_read(m_socket, asio::buffer(m_frame_body.data() + received, n),
                    [self](const error_code& ec, std::size_t) {
                      if (ec) {
                        self->close(true);
                        return;
                      }
-                     self->m_network->m_counters.bytes_received +=
-                         frame_header_bytes + self->m_frame_body.size();
-                     std::optional<wire::payloadUnion> body =
-                         decode_frame(self->m_frame_body);
-                     if (!body) {
-                       self->fail(event_id::frame_dropped, "invalid message");
+                     if (self->m_closed) {
                        return;
                      }
-                     self->m_last_received_at = read_clocks().now;
-                     self->m_response_pending = false;
-                     self->set_unresponsive(false);
-                     self->handle_message(*body);
-                     if (!self->m_closed) {
-                       self->read_frame_header();
-                     }
+                     self->m_frame_body.size() < self->m_frame_bytes
+                         ? self->read_frame_part()
+                         : self->on_frame();
                    });
 }
 
+void peer_session::on_frame() {
+  m_network->m_counters.bytes_received +=
+      frame_header_bytes + m_frame_body.size();
+  std::optional<wire::payloadUnion> body = decode_frame(m_frame_body);
+  if (m_frame_body.capacity() > min_frame_part_bytes) {
+    m_frame_body = {};
+  }
+  set_received_bytes(0);
+  if (!body) {
+    fail(event_id::frame_dropped, "invalid message");
+    return;
+  }
+  m_last_received_at = read_clocks().now;
+  m_response_pending = false;
+  set_unresponsive(false);
+  handle_message(*body);
+  if (!m_closed) {
+    read_frame_header();
+  }
+}
+
+void peer_session::drop_frame() {
+  fail(event_id::frame_dropped, "frames take too much memory");
+}
+
+void peer_session::set_received_bytes(std::size_t n) {
+  m_network->m_received_bytes += n;
+  m_network->m_received_bytes -= std::exchange(m_received_bytes, n);
+}
+
 void peer_session::handle_message(wire::payloadUnion& body) {
   if (body.type == wire::payload::hello) {
     handle_hello(*body.Ashello());
--- a/src/kingcupslip/net/peer_session.hpp
+++ b/src/kingcupslip/net/peer_session.hpp
@@ -53,12 +53,19 @@
   void close(bool notify);
 
   const std::string& peer() const { return m_peer; }
+  /// Bytes held of a frame that has not arrived in full.
+  std::size_t received_bytes() const { return m_received_bytes; }
+  /// Closes the connection because of the frame that it is receiving.
+  void drop_frame();
   bool established() const { return m_established; }
 
 private:
   void send_hello();
   void read_frame_header();
   void read_frame_body(std::size_t n);
+  void read_frame_part();
+  void on_frame();
+  void set_received_bytes(std::size_t n);
   void handle_message(wire::payloadUnion& body);
   void handle_hello(const wire::helloT& m);
   void handle_proof(const wire::hello_proofT& m);
@@ -88,6 +95,8 @@
   std::unordered_set<std::uint64_t> m_unanswered_calls; ///< of the peer
   std::array<std::uint8_t, frame_header_bytes> m_frame_header{};
   frame_bytes m_frame_body;
+  std::size_t m_frame_bytes = 0;    ///< of the frame that is being read
+  std::size_t m_received_bytes = 0; ///< held of it; counted in the network
   instant m_last_received_at{0};
   instant m_last_sent_at{0};
   instant m_last_ping_at{0};
