Store: JSON whose values take far more memory than its text is not parsed

An answer of the store within its bound of 8 MB takes many times its size when it is parsed: an array takes eighty bytes, its brackets two.

Change: parse_foreign_json reads the text once without keeping it and gives up beyond a depth of 64 and 500,000 values; answers of the store, documents and rows go through it. Answers of the store are bounded at 4 MB each and 16 MB together; a page of its rows takes 1 MB.

Ruled out: nlohmann's parse with a callback that discards values. It takes quadratic time (over eight minutes for 4 MB of "[],"; tried, not kept).

json_field.text_whose_values_take_too_much_memory_is_not_parsed failed with the bound switched off. sessions.adapter_endless_bytes plays callers and a store against a real node: requests are served beside them, its peak stays below 160 MB.

--- a/src/kingcupslip/core/crash_record_store.cpp
+++ b/src/kingcupslip/core/crash_record_store.cpp
@@ -46,7 +46,7 @@
   if (!starts_with(row.key, crash_prefix)) {
     return std::nullopt;
   }
-  const json value = json::parse(row.value, nullptr, false);
+  const json value = parse_foreign_json(row.value);
   const json::const_iterator digests = value.find("digests");
   const std::string_view digits =
       std::string_view(row.key).substr(crash_prefix.size());
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -50,7 +50,7 @@
 /// Null if no node can have written the row.
 std::optional<wire::memberT> decode_member_row(const table_row& row,
                                                const clock_reading& clock) {
-  const json value = json::parse(row.value, nullptr, false);
+  const json value = parse_foreign_json(row.value);
   wire::memberT m;
   m.node = text_field(value, "node");
   m.data_centre = text_field(value, "data_centre");
--- a/src/kingcupslip/core/json_field.hpp
+++ b/src/kingcupslip/core/json_field.hpp
@@ -6,9 +6,15 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace kingcupslip {
 
+/// Parses text that another process has written, which may be no JSON, or JSON
+/// whose values take far more memory than the text. The result is discarded if
+/// it cannot be parsed, is nested deeply or has too many values.
+nlohmann::json parse_foreign_json(std::string_view text);
+
 /// Each of these returns an empty value if `from` is no object, or if the
 /// field is absent or of another type. They do not throw, unlike
 /// `json::value`, which does so for a field of another type.
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t max_control_body_bytes = 64UL * 1024;
 /// Of callers of the node itself, for each of its addresses.
 constexpr std::size_t max_control_connections = 64;
+/// A page of rows takes 1 MB, besides its encoding.
+constexpr std::size_t max_store_response_bytes = 4UL * 1024 * 1024;
+constexpr std::size_t max_store_buffered_bytes = 16UL * 1024 * 1024;
 /// A target that misses this many announcements is considered gone.
 constexpr int max_missed_announcements = 4;
 
@@ -33,7 +36,8 @@
       m_read_settings(std::move(read_settings)), m_timer(m_loop),
       m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
       m_log(make_event_log(settings.log, settings.node)),
-      m_store_client(m_loop, to_endpoint(settings.store)),
+      m_store_client(m_loop, to_endpoint(settings.store), nullptr,
+                     max_store_response_bytes, max_store_buffered_bytes),
       m_target_client(m_loop, to_endpoint(settings.target), m_log) {
   const routed_options options = make_node_options(settings);
   m_node = std::make_unique<routed_node>(options, make_node_hooks());
@@ -204,10 +208,6 @@
   send(plain_response(http_status::ok, "application/json", "{}"));
 }
 
-void routed_daemon::tick() {
-  refresh_clock().tick();
-  if (m_node->clock().now - m_peers_checked_at >= peer_check_period) {
-    m_peers_checked_at = m_node->clock().now;
 bool routed_daemon::accept_announcement(const target_announcement& a) {
   if (!m_node->is_local_target(a)) {
     // The address may have got a target of another service.
@@ -216,6 +216,10 @@
   return refresh_clock().on_target_announce(a);
 }
 
+void routed_daemon::tick() {
+  refresh_clock().tick();
+  if (m_node->clock().now - m_peers_checked_at >= peer_check_period) {
+    m_peers_checked_at = m_node->clock().now;
     m_peer_network->tick();
   }
   if (m_node->clock().now - m_settings_checked_at >= settings_check_period) {
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -758,6 +758,7 @@
                         self.repeated_refusals, self.promising_statuses,
                         self.target_notices, self.endless_answers,
                         self.cut_answers, self.check_ins, self.foreign_bytes,
+                        self.endless_bytes,
                         self.reload, self.changes, self.outage,
                         self.restored_store, self.foreign_rows,
                         self.graceful_stop, self.stop_with_requests,
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -72,6 +72,7 @@
         self.calls_to_throttle = 0  # calls answered 429
         self.calls_to_cut = 0  # calls whose answer ends early
         self.foreign_rows = []  # of another writer, in each answer with rows
+        self.foreign_answer = None  # the body of each answer
         self.calls = {}
         store = self
 
@@ -155,6 +156,9 @@
         out["now-s"] = time.monotonic()
         if "rows" in out and status == 200:
             out["rows"] = self.foreign_rows + out["rows"]
+        if self.foreign_answer is not None:
+            call.reply(200, self.foreign_answer, [era])
+            return
         if self.calls_to_cut > 0:
             self.calls_to_cut -= 1
             body = json.dumps(out).encode()
