Table client: Beast in place of cpprestsdk, whose reads have no bound

The table client of the product's own nodes kept heads, chunk extensions and bodies of any size.

Cause: cpprestsdk reads heads and chunk lines into a buffer without a bound, with no setting for one, and the client took whole bodies.

Change: the one HTTP client, on the loop, with its bounds; each call has a connection of its own, so that a copy of an earlier answer ends no later call, which was open.

--- a/src/kingcupslip/core/http_status.hpp
+++ b/src/kingcupslip/core/http_status.hpp
@@ -10,6 +10,7 @@
 constexpr std::uint16_t bad_request = 400;
 constexpr std::uint16_t unauthorized = 401;
 constexpr std::uint16_t request_timeout = 408;
+constexpr std::uint16_t conflict = 409;
 constexpr std::uint16_t gone = 410;
 constexpr std::uint16_t precondition_failed = 412;
 constexpr std::uint16_t misdirected = 421;
--- a/src/kingcupslip/daemon/node_daemon.cpp
+++ b/src/kingcupslip/daemon/node_daemon.cpp
@@ -31,7 +31,7 @@
 node_daemon::node_daemon(const node_settings& settings)
     : m_settings(settings), m_timer(m_loop), m_signals(m_loop, SIGTERM, SIGINT),
       m_log(make_event_log(settings.log, settings.node)),
-      m_table_client(m_loop, settings.table_url),
+      m_table_client(m_loop, to_endpoint(settings.table)),
       m_target_client(m_loop, to_endpoint(settings.target), m_log) {
   const node_options options = make_node_options(settings);
   m_node = std::make_unique<node>(options, make_node_hooks());
--- a/src/kingcupslip/daemon/settings.cpp
+++ b/src/kingcupslip/daemon/settings.cpp
@@ -69,7 +69,7 @@
   out.peers = in.address("peers");
   out.announcements = in.address("announcements");
   out.admin = in.address("admin");
-  out.table_url = in.text("table_url", true, "a URL, as in http://IP:PORT");
+  out.table = in.http_url("table_url");
   out.fleet_secret = in.secret("fleet_secret");
   out.operator_token = in.secret("operator_token");
   read_seeds(in, out, errors);
--- a/src/kingcupslip/daemon/settings.hpp
+++ b/src/kingcupslip/daemon/settings.hpp
@@ -44,7 +44,7 @@
   listen_address peers;
   listen_address announcements;
   listen_address admin;
-  std::string table_url;
+  listen_address table; ///< of the table service
   std::string fleet_secret;
   std::string operator_token;
   std::vector<seed_node> seeds;
--- a/src/kingcupslip/daemon/settings_reader.cpp
+++ b/src/kingcupslip/daemon/settings_reader.cpp
@@ -2,10 +2,12 @@
 #include "kingcupslip/daemon/settings_reader.hpp"
 
 #include "kingcupslip/core/contract_codec.hpp"
+#include "kingcupslip/core/text.hpp"
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -136,6 +138,21 @@
   return parsed.value_or(listen_address{});
 }
 
+listen_address map_reader::http_url(const std::string& key) {
+  constexpr std::string_view scheme = "http://";
+  const std::string expected = "a URL, as in http://IP:PORT";
+  std::string out = text(key, true, expected);
+  const bool has_path = !out.empty() && out.back() == '/';
+  out.resize(out.size() - (has_path ? 1 : 0));
+  const std::optional<listen_address> parsed =
+      starts_with(out, scheme) ? parse_address(out.substr(scheme.size()))
+                               : std::nullopt;
+  if (!out.empty() && !parsed) {
+    add_error(key, child(key), expected);
+  }
+  return parsed.value_or(listen_address{});
+}
+
 std::int64_t map_reader::integer(const std::string& key, std::int64_t fallback,
                                  std::int64_t min_value,
                                  std::int64_t max_value) {
--- a/src/kingcupslip/daemon/settings_reader.hpp
+++ b/src/kingcupslip/daemon/settings_reader.hpp
@@ -41,6 +41,8 @@
   std::string name(const std::string& key);
   std::string secret(const std::string& key);
   listen_address address(const std::string& key);
+  /// A URL without a path; its host is an IP address.
+  listen_address http_url(const std::string& key);
   std::int64_t integer(const std::string& key, std::int64_t fallback,
                        std::int64_t min_value, std::int64_t max_value);
   /// Seconds, which may have fractions, as milliseconds.
