Sessions: the store's restore waits for the restarted node, not for its log

Cause: the session waits until the node that was restarted while the store was away has read it, as one that has not knows of no restore. It looked for table_regained in the node's whole log. Since the session before, endless_bytes, makes all nodes lose and regain the store, the event of the earlier process ended the wait at once.

Ruled out: the product. No event of a restore is due at a node that never read the store before it.

Change: only events since the last node_started count; what the session asks for is unchanged. Traced by reading, not played again under the same load.

--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -113,6 +113,12 @@
             return [json.loads(line)["name"] for line in lines
                     if line.startswith("{") and line.endswith("}\n")]
 
+    def event_names_since_start(self):
+        """Returns the names of the events of the node's last process."""
+        names = self.event_names()
+        starts = [i for i, name in enumerate(names) if name == "node_started"]
+        return names[starts[-1]:] if starts else []
+
     def event_count(self, name):
         return self.event_names().count(name)
 
@@ -555,7 +561,9 @@
     def restored_store(self):
         """The store comes back from a copy that lacks the last changes."""
         # A node that has not read the store yet knows of no restore.
-        self.wait(lambda: "table_regained" in self.nodes[1].event_names())
+        # The second one has been restarted while the store was away.
+        self.wait(lambda: "table_regained"
+                  in self.nodes[1].event_names_since_start())
         self.store.copy()
         for name in [n for n in self.store.copied[0] if n[0] == "kingcupslip"]:
             del self.store.copied[0][name]
