Peers: a dropped frame releases its memory at once

Cause: a connection that is closed because unfinished frames take too much memory was no longer counted, but its buffer remained until the handler of its pending read had run; meanwhile other frames grew into the room. The buffer also grew by doubling, to 16 MB for a frame of 10 MB.

Change: a pending read writes to a part of at most 64 KB, which is appended to the frame, so that closing the connection can release the frame. Memory grows to the announced length at most.

The check and its bound are unchanged.

--- a/src/kingcupslip/net/peer_session.cpp
+++ b/src/kingcupslip/net/peer_session.cpp
@@ -27,7 +27,7 @@
 constexpr std::size_t max_handshake_frame_bytes = 4096;
 constexpr std::size_t max_queued_frames = 20'000;
 /// Memory for a frame grows with what has arrived of it.
-constexpr std::size_t min_frame_part_bytes = 64UL * 1024;
+constexpr std::size_t max_frame_part_bytes = 64UL * 1024;
 
 } // namespace
 
@@ -139,6 +139,7 @@
     return;
   }
   m_closed = true;
+  m_frame_body = frame_bytes();
   set_received_bytes(0);
   set_unresponsive(false);
   m_timer.cancel();
@@ -218,36 +219,45 @@
 }
 
 void peer_session::read_frame_part() {
-  const std::size_t received = m_frame_body.size();
-  const std::size_t n = std::min(m_frame_bytes - received,
-                                 std::max(min_frame_part_bytes, received));
-  m_frame_body.resize(received + n);
-  set_received_bytes(m_frame_body.capacity());
+  m_frame_part.resize(
+      std::min(m_frame_bytes - m_frame_body.size(), max_frame_part_bytes));
+  set_received_bytes(m_frame_body.capacity() + m_frame_part.capacity());
   m_network->limit_received_bytes();
   if (m_closed) {
     return;
   }
   const std::shared_ptr<peer_session> self = shared_from_this();
-  asio::async_read(m_socket, asio::buffer(m_frame_body.data() + received, n),
+  asio::async_read(m_socket, asio::buffer(m_frame_part),
                    [self](const error_code& ec, std::size_t) {
                      if (ec) {
                        self->close(true);
                        return;
                      }
-                     if (self->m_closed) {
-                       return;
+                     if (!self->m_closed) {
+                       self->on_frame_part();
                      }
-                     self->m_frame_body.size() < self->m_frame_bytes
-                         ? self->read_frame_part()
-                         : self->on_frame();
                    });
 }
 
+void peer_session::on_frame_part() {
+  const std::size_t n = m_frame_body.size() + m_frame_part.size();
+  if (m_frame_body.empty()) {
+    m_frame_body.swap(m_frame_part);
+  } else {
+    if (n > m_frame_body.capacity()) {
+      m_frame_body.reserve(std::min(m_frame_bytes, 2 * n));
+    }
+    m_frame_body.insert(m_frame_body.end(), m_frame_part.begin(),
+                        m_frame_part.end());
+  }
+  n < m_frame_bytes ? read_frame_part() : on_frame();
+}
+
 void peer_session::on_frame() {
   m_network->m_counters.bytes_received +=
       frame_header_bytes + m_frame_body.size();
   std::optional<wire::payloadUnion> body = decode_frame(m_frame_body);
-  if (m_frame_body.capacity() > min_frame_part_bytes) {
+  if (m_frame_body.capacity() > max_frame_part_bytes) {
     m_frame_body = {};
   }
   set_received_bytes(0);
--- a/src/kingcupslip/net/peer_session.hpp
+++ b/src/kingcupslip/net/peer_session.hpp
@@ -64,6 +64,7 @@
   void read_frame_header();
   void read_frame_body(std::size_t n);
   void read_frame_part();
+  void on_frame_part();
   void on_frame();
   void set_received_bytes(std::size_t n);
   void handle_message(wire::payloadUnion& body);
@@ -94,7 +95,10 @@
   std::unordered_map<std::uint64_t, instant> m_open_calls;
   std::unordered_set<std::uint64_t> m_unanswered_calls; ///< of the peer
   std::array<std::uint8_t, frame_header_bytes> m_frame_header{};
-  frame_bytes m_frame_body;
+  frame_bytes m_frame_body; ///< without the part that is being read
+  /// The only memory that a pending read writes to, so that a closed connection
+  /// releases the rest of its frame at once.
+  frame_bytes m_frame_part;
   std::size_t m_frame_bytes = 0;    ///< of the frame that is being read
   std::size_t m_received_bytes = 0; ///< held of it; counted in the network
   instant m_last_received_at{0};
