Peers: a large frame that has arrived or been written takes no memory

What callers saw: calls between nodes lost with their connection, when several nodes had sent a large message (some MB) to the same one at any time before.

Cause: the buffer of a received frame was to be released with it, by an assignment of {}, which empties a vector and keeps its memory. It counted as unfinished as soon as the next frame of that connection began, so that three connections went beyond the 32 MB of unfinished frames and the largest was closed. The sender kept its last frame, too, until it wrote the next one.

Evidence: two tests that failed before. Ten peers that had each sent a call with 9 MB, and then one with 1 KB: 12 of 20 calls arrived, 20 now. One call with 9 MB left 26 MB of memory in use, at most 4.5 MB are allowed now.

No other assignment of this form is meant to release memory (searched for in src and platform).

--- a/src/kingcupslip/net/peer_session.cpp
+++ b/src/kingcupslip/net/peer_session.cpp
@@ -258,7 +258,9 @@
       frame_header_bytes + m_frame_body.size();
   std::optional<wire::payloadUnion> body = decode_frame(m_frame_body);
   if (m_frame_body.capacity() > max_frame_part_bytes) {
-    m_frame_body = {};
+    // The assignment of {} would keep the memory.
+    m_frame_body = frame_bytes();
+    m_frame_part = frame_bytes();
   }
   set_received_bytes(0);
   if (!body) {
@@ -389,6 +391,7 @@
   asio::async_write(m_socket, asio::buffer(m_current_write.bytes),
                     [self](const error_code& ec, std::size_t) {
                       self->m_writing = false;
+                      self->m_current_write.bytes = frame_bytes();
                       if (ec) {
                         self->close(true);
                         return;
--- a/tests/net/endless_frame_test.cpp
+++ b/tests/net/endless_frame_test.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t peers = 10;
 /// Of the bound on frames that are being received, with their growth.
 constexpr std::size_t max_memory_growth = 48UL * 1024 * 1024;
+constexpr std::size_t large_body_bytes = 9UL * 1024 * 1024;
+constexpr std::size_t small_body_bytes = 1024;
 
 node_identity identity(const std::string& name) {
   node_identity out;
@@ -110,6 +112,7 @@
 TEST_GROUP(endless_frame) {
   io_loop loop;
   std::vector<std::uint64_t> calls;
+  std::size_t lost_connections = 0;
   std::string callee_address;
 
   peer_hooks hooks() {
@@ -120,12 +123,29 @@
       }
     };
     out.on_unsent = [](std::uint64_t) {};
-    out.on_connection_lost = [](const std::string&) {};
+    out.on_connection_lost = [this](const std::string&) { ++lost_connections; };
     out.address_of = [this](const std::string&) { return callee_address; };
     out.log = [](event_id, const event_fields&) {};
     return out;
   }
 
+  static wire::payloadUnion call_with(std::size_t body_bytes) {
+    wire::callT call;
+    call.correlation = 7;
+    call.body.resize(body_bytes);
+    wire::payloadUnion out;
+    out.Set(std::move(call));
+    return out;
+  }
+
+  void run_until_calls(std::size_t n) {
+    const instant end = read_clocks().now + milliseconds(5000);
+    while (calls.size() < n && read_clocks().now < end) {
+      loop.run_one_for(milliseconds(10));
+    }
+    UNSIGNED_LONGS_EQUAL(n, calls.size());
+  }
+
   /// Returns how much memory frames took of which so much had arrived, without
   /// what their senders hold.
   std::size_t growth_with(std::size_t sent_bytes) {
@@ -147,11 +167,7 @@
     callee_address = "127.0.0.1:" + std::to_string(callee.port());
     peer_network sound(loop, identity("sound"), secret, "127.0.0.1", 0,
                        hooks());
-    wire::callT call;
-    call.correlation = 7;
-    wire::payloadUnion body;
-    body.Set(std::move(call));
-    sound.send("callee", body);
+    sound.send("callee", call_with(0));
     loop.run_for(milliseconds(300));
     return growth;
   }
@@ -169,3 +185,43 @@
   CHECK_COMPARE(growth, <=, max_memory_growth);
   LONGS_EQUAL(1, calls.size());
 }
+
+// The memory of a large frame was kept by both ends as long as their connection
+// was open.
+TEST(endless_frame, memory_of_a_large_frame_is_released_after_it) {
+  peer_network callee(loop, identity("callee"), secret, "127.0.0.1", 0,
+                      hooks());
+  callee_address = "127.0.0.1:" + std::to_string(callee.port());
+  peer_network sender(loop, identity("sender"), secret, "127.0.0.1", 0,
+                      hooks());
+  sender.send("callee", call_with(0));
+  run_until_calls(1);
+  const std::size_t heap_before = heap_bytes();
+  sender.send("callee", call_with(large_body_bytes));
+  run_until_calls(2);
+  loop.run_for(milliseconds(50));
+  const std::size_t now_used = heap_bytes();
+  CHECK_COMPARE(now_used - std::min(now_used, heap_before), <=,
+                large_body_bytes / 2);
+}
+
+// Frames that had been received in full counted as unfinished ones when their
+// senders began the next frame, and sound connections were closed.
+TEST(endless_frame, large_frames_that_have_arrived_close_no_connection) {
+  peer_network callee(loop, identity("callee"), secret, "127.0.0.1", 0,
+                      hooks());
+  callee_address = "127.0.0.1:" + std::to_string(callee.port());
+  std::vector<std::unique_ptr<peer_network>> senders;
+  for (std::size_t i = 0; i < peers; ++i) {
+    senders.push_back(std::make_unique<peer_network>(
+        loop, identity("sender-" + std::to_string(i)), secret, "127.0.0.1", 0,
+        hooks()));
+    senders.back()->send("callee", call_with(large_body_bytes));
+    run_until_calls(i + 1);
+  }
+  for (const std::unique_ptr<peer_network>& it : senders) {
+    it->send("callee", call_with(small_body_bytes));
+  }
+  run_until_calls(2 * peers);
+  UNSIGNED_LONGS_EQUAL(0, lost_connections);
+}
