Peers: frames that are being written count as queued

What callers saw: nothing; the bound on messages for peers that read slowly (32 MB for all of them) left out the frame that each connection was writing, up to 10 MB for each peer.

Change: a frame counts until its write has ended or its connection closed.

--- a/src/kingcupslip/net/peer_network.hpp
+++ b/src/kingcupslip/net/peer_network.hpp
@@ -104,7 +104,8 @@
   std::map<std::string, std::shared_ptr<peer_session>> m_session_by_node;
   std::map<peer_session*, std::shared_ptr<peer_session>> m_sessions;
   std::uint64_t m_next_nonce = 0;
-  std::size_t m_queued_bytes = 0; ///< in the send queues of all sessions
+  /// Of all sessions, in their queues and of the frames that they write.
+  std::size_t m_queued_bytes = 0;
   /// Of frames that have not arrived in full, of all sessions.
   std::size_t m_received_bytes = 0;
 };
--- a/src/kingcupslip/net/peer_session.cpp
+++ b/src/kingcupslip/net/peer_session.cpp
@@ -150,6 +150,9 @@
   for (const outgoing_frame& it : unsent) {
     m_network->m_queued_bytes -= it.bytes.size();
   }
+  if (m_writing) {
+    m_network->m_queued_bytes -= m_current_write.bytes.size();
+  }
   if (!notify) {
     return;
   }
@@ -369,10 +372,10 @@
     m_current_write = {std::move(m_handshake_queue.front()), 0, duration(0),
                        false};
     m_handshake_queue.pop_front();
+    m_network->m_queued_bytes += m_current_write.bytes.size();
   } else if (m_established && !m_send_queue.empty()) {
     m_current_write = std::move(m_send_queue.front());
     m_send_queue.pop_front();
-    m_network->m_queued_bytes -= m_current_write.bytes.size();
     if (!m_response_pending && m_current_write.expects_response) {
       m_response_pending = true;
       m_pending_since = read_clocks().now;
@@ -390,8 +393,7 @@
   const std::shared_ptr<peer_session> self = shared_from_this();
   asio::async_write(m_socket, asio::buffer(m_current_write.bytes),
                     [self](const error_code& ec, std::size_t) {
-                      self->m_writing = false;
-                      self->m_current_write.bytes = frame_bytes();
+                      self->end_write();
                       if (ec) {
                         self->close(true);
                         return;
@@ -400,6 +402,14 @@
                     });
 }
 
+void peer_session::end_write() {
+  if (!m_closed) {
+    m_network->m_queued_bytes -= m_current_write.bytes.size();
+  }
+  m_writing = false;
+  m_current_write.bytes = frame_bytes();
+}
+
 void peer_session::fail(event_id id, const std::string& why) {
   if (m_closed) {
     return;
--- a/src/kingcupslip/net/peer_session.hpp
+++ b/src/kingcupslip/net/peer_session.hpp
@@ -73,6 +73,7 @@
   std::string compute_proof(const std::string& node, bool by_dialler) const;
   void write_handshake_frame(frame_bytes frame);
   void write_next();
+  void end_write();
   void fail(event_id id, const std::string& why);
   void set_unresponsive(bool unresponsive);
   /// Reports what was lost with an established connection.
--- a/tests/net/peer_network_test.cpp
+++ b/tests/net/peer_network_test.cpp
@@ -7,6 +7,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
 using namespace kingcupslip;
 
 namespace {
@@ -175,6 +180,51 @@
   CHECK(dropped > 0);
 }
 
+// A frame no longer counted once the first part of it was written.
+TEST(peer_network, calls_that_are_written_in_part_are_bounded) {
+  constexpr std::size_t peers = 10;
+  constexpr std::size_t body_bytes = 9UL * 1024 * 1024;
+  constexpr std::size_t max_memory_growth = 64UL * 1024 * 1024;
+  io_loop loop;
+  std::map<std::string, std::uint16_t> ports;
+  std::size_t calls = 0;
+  std::size_t unsent = 0;
+  peer_hooks hooks;
+  hooks.on_message = [&calls](const std::string&,
+                              const wire::payloadUnion& body) {
+    calls += body.type == wire::payload::call ? 1 : 0;
+  };
+  hooks.on_unsent = [&unsent](std::uint64_t) { ++unsent; };
+  hooks.on_connection_lost = [](const std::string&) {};
+  hooks.address_of = [&ports](const std::string& peer) {
+    return "127.0.0.1:" + std::to_string(ports[peer]);
+  };
+  hooks.log = [](event_id, const event_fields&) {};
+  peer_network caller(loop, identity("caller"), "the-secret-of-both",
+                      "127.0.0.1", 0, hooks);
+  std::vector<std::unique_ptr<peer_network>> callees;
+  for (std::size_t i = 0; i < peers; ++i) {
+    const std::string name = "callee-" + std::to_string(i);
+    callees.push_back(std::make_unique<peer_network>(
+        loop, identity(name), "the-secret-of-both", "127.0.0.1", 0, hooks));
+    ports[name] = callees.back()->port();
+    caller.send(name, call_with(1));
+  }
+  const instant give_up = read_clocks().now + milliseconds(3000);
+  while (calls < peers && read_clocks().now < give_up) {
+    loop.run_one_for(milliseconds(10));
+  }
+  UNSIGNED_LONGS_EQUAL(peers, calls);
+  wire::payloadUnion large_call = call_with(2);
+  large_call.Ascall()->body.resize(body_bytes);
+  const std::size_t before = heap_bytes();
+  for (const std::pair<const std::string, std::uint16_t>& it : ports) {
+    caller.send(it.first, large_call);
+  }
+  CHECK_COMPARE(heap_bytes(), <=, before + max_memory_growth);
+  CHECK(unsent > 0);
+}
+
 // Guards against an address that ends the process, or that is dialled, though
 // its port is out of range or no number.
 TEST(peer_network, an_address_without_a_valid_port_is_not_dialled) {
