Tests: bounds on one answer and on a greeting fail without the bound

endless_response.one_*: one exchange, whose answer may take 1 MB, where all of them may take 32 MB; each failed with the bound of one answer off. A greeting of 1 MB between nodes had no test: the connection stayed open with the bound off.

The product is unchanged.

--- a/tests/net/endless_frame_test.cpp
+++ b/tests/net/endless_frame_test.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,6 +31,8 @@
 constexpr std::size_t peers = 10;
 /// Of the bound on frames that are being received, with their growth.
 constexpr std::size_t max_memory_growth = 48UL * 1024 * 1024;
+/// Of a greeting of 4 KB, with the session.
+constexpr std::size_t max_greeting_growth = 32UL * 1024;
 constexpr std::size_t large_body_bytes = 9UL * 1024 * 1024;
 constexpr std::size_t small_body_bytes = 1024;
 
@@ -186,6 +189,37 @@
   LONGS_EQUAL(1, calls.size());
 }
 
+// A peer that has not proved the fleet's secret sends short frames only.
+TEST(endless_frame, a_long_greeting_closes_its_connection) {
+  peer_network callee(loop, identity("callee"), secret, "127.0.0.1", 0,
+                      hooks());
+  tcp::socket stranger(loop);
+  stranger.connect({asio::ip::address_v4::loopback(), callee.port()});
+  frame_bytes frame(1024UL * 1024);
+  frame[1] = 0x10;
+  asio::async_write(stranger, asio::buffer(frame),
+                    [](const error_code&, std::size_t) {});
+  bool closed = false;
+  std::array<std::uint8_t, 4096> buf{};
+  std::function<void()> read = [&] {
+    stranger.async_read_some(asio::buffer(buf),
+                             [&](const error_code& ec, std::size_t) {
+                               ec ? void(closed = true) : read();
+                             });
+  };
+  read();
+  const std::size_t heap_before = heap_bytes();
+  std::size_t growth = 0;
+  const instant end = read_clocks().now + milliseconds(500);
+  while (!closed && read_clocks().now < end) {
+    loop.run_one_for(milliseconds(10));
+    growth =
+        std::max(growth, heap_bytes() - std::min(heap_bytes(), heap_before));
+  }
+  CHECK(closed);
+  CHECK_COMPARE(growth, <=, max_greeting_growth);
+}
+
 // The memory of a large frame was kept by both ends as long as their connection
 // was open.
 TEST(endless_frame, memory_of_a_large_frame_is_released_after_it) {
--- a/tests/net/endless_response_test.cpp
+++ b/tests/net/endless_response_test.cpp
@@ -33,6 +33,11 @@
 constexpr std::size_t concurrent_requests = 40;
 /// A node has 160 MB or more, of which answers may take a part.
 constexpr std::size_t max_memory_growth = 64UL * 1024 * 1024;
+constexpr std::size_t max_answer_bytes = 1024UL * 1024;
+/// Of a body while its memory grows, with the buffers of both ends.
+constexpr std::size_t max_body_growth = 4 * max_answer_bytes;
+/// Of a head of 64 KB, likewise.
+constexpr std::size_t max_head_growth = 1024UL * 1024;
 
 /// Sends requests to a server and returns how much memory they took until the
 /// last of them ended, or until they should have.
@@ -76,6 +81,19 @@
   }
 }
 
+/// Sends one request to a server of this kind and checks that its answer takes
+/// no more memory than one may, whatever all of them may take.
+void check_one(const endless_case& c, std::size_t max_growth) {
+  io_loop loop;
+  endless_server server(loop, c.first, c.repeated);
+  http_client client(loop, server.endpoint(), nullptr, max_answer_bytes);
+  std::vector<target_result> results;
+  const std::size_t growth = memory_growth(loop, client, 1, results);
+  LONGS_EQUAL_TEXT(1, results.size(), c.name);
+  CHECK_TRUE_TEXT(growth <= max_growth, c.name);
+  CHECK_TEXT(exchange_end::lost == results.front().end, c.name);
+}
+
 } // namespace
 
 // Answers without end filled the memory of the node.
@@ -107,6 +125,26 @@
   CHECK_COMPARE(growth, <=, max_buffered_bytes + requests * exchange_bytes);
 }
 
+TEST(endless_response, one_head_is_bounded) {
+  check_one({"no status line", "xxxx", "x"}, max_head_growth);
+  check_one({"one header line", ok_line + "A: ", "a"}, max_head_growth);
+  check_one({"header lines", ok_line, "A: b\r\n"}, max_head_growth);
+}
+
+TEST(endless_response, one_body_is_bounded) {
+  check_one({"no length", ok_line + "\r\n", "body"}, max_body_growth);
+  check_one(
+      {"huge length", ok_line + "Content-Length: 99999999999\r\n\r\n", "body"},
+      max_body_growth);
+  check_one({"chunks", chunked_head, "4\r\nbody\r\n"}, max_body_growth);
+}
+
+TEST(endless_response, one_chunk_line_or_trailer_is_bounded) {
+  check_one({"chunk extension", chunked_head + "4;a=", "b"}, max_head_growth);
+  check_one({"chunk size", chunked_head, "0"}, max_head_growth);
+  check_one({"trailers", chunked_head + "0\r\n", "A: b\r\n"}, max_head_growth);
+}
+
 TEST(endless_response, a_body_without_a_length_and_end_ends_its_request) {
   check_ends({"no length", ok_line + "\r\n", "body"});
 }
@@ -153,6 +191,15 @@
               "HTTP/1.1 100 Continue\r\n\r\n"});
 }
 
+// Skipped answers take no memory, but the time of their node.
+TEST(endless_response, skipped_answers_end_their_request_before_its_deadline) {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const instant started_at = read_clocks().now;
+  check_one({"interim answers", interim, interim}, max_head_growth);
+  check_one({"other answers", other_answer, other_answer}, max_head_growth);
+  CHECK(read_clocks().now - started_at < time_left / 2);
+}
+
 TEST(endless_response, answers_to_other_requests_end_their_request) {
   check_ends({"other answers", other_answer, other_answer});
 }
