--- a/tests/support/fake_target.hpp
+++ b/tests/support/fake_target.hpp
@@ -9,11 +9,21 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kingcupslip {
 
+/// How the connections of a target end when a request crashes it.
+enum class crash_break : std::uint8_t {
+  all_at_once,
+  cause_then_others, ///< that of the cause at once, the others 0.4 s later
+  cause_only,        ///< that of the cause at once, the others not at all
+  none               ///< the machine falls silent
+};
+
 /// Simulates a target process that runs up to `slots` requests at a time,
 /// queues further ones, and can crash and restart. Answers echo the body of
 /// the request. The scheduler must outlive the target.
@@ -27,12 +37,18 @@
     std::size_t max_queued = 100'000; ///< further requests get a 503 not-run
     /// Each request of this number gets no answer and takes no slot; 0: none.
     std::size_t drop_every = 0;
+    crash_break breaks = crash_break::all_at_once;
   };
 
   fake_target(scheduler& time, options s, result_handler on_result)
       : m_scheduler(time), m_options(s), m_on_result(std::move(on_result)) {}
 
   void run(std::uint64_t id, target_request r) {
+    if (m_down && m_options.breaks == crash_break::none) {
+      m_unbroken.insert(id);
+      lose_after(id, r.time_left);
+      return;
+    }
     if (m_down) {
       send_result(id, {exchange_end::not_connected, 0, {}, {}});
       return;
@@ -48,8 +64,9 @@
     // Like the HTTP client of a node, reports the request as lost at its
     // deadline, even if the target still runs it.
     m_scheduler.run_after(r.time_left, [this, id, generation] {
-      if (generation == m_generation && m_pending.count(id) != 0) {
-        m_pending.erase(id);
+      const bool running =
+          generation == m_generation && m_pending.erase(id) != 0;
+      if (running || m_unbroken.erase(id) != 0) {
         send_result(id, {exchange_end::lost, 0, {}, {}});
       }
     });
@@ -64,14 +81,16 @@
 
   void cancel(std::uint64_t id) {
     ++cancel_count;
-    if (m_pending.erase(id) != 0) {
+    if (m_pending.erase(id) + m_unbroken.erase(id) != 0) {
       send_result(id, {exchange_end::lost, 0, {}, {}});
     }
   }
 
   /// Simulates a crash: every queued or running request is lost, and further
   /// ones cannot connect until `restart` starts a new instance.
-  void crash() {
+  void crash() { crash(0, crash_break::all_at_once); }
+  /// The connections end as `breaks` says; `cause` is the run that crashed it.
+  void crash(std::uint64_t cause, crash_break breaks) {
     ++m_generation;
     m_down = true;
     m_running = 0;
@@ -79,7 +98,16 @@
     std::map<std::uint64_t, bool> pending;
     pending.swap(m_pending);
     for (const std::pair<const std::uint64_t, bool>& it : pending) {
-      send_result(it.first, {exchange_end::lost, 0, {}, {}});
+      const bool at_once = breaks == crash_break::all_at_once ||
+                           (it.first == cause && breaks != crash_break::none);
+      if (at_once) {
+        send_result(it.first, {exchange_end::lost, 0, {}, {}});
+        continue;
+      }
+      m_unbroken.insert(it.first);
+      if (breaks == crash_break::cause_then_others) {
+        lose_after(it.first, std::chrono::milliseconds(400));
+      }
     }
   }
   void restart() { m_down = false; }
@@ -100,6 +128,8 @@
   std::vector<target_request> started_requests;
   bool keep_started_requests = false;
   std::uint64_t cancel_count = 0;
+  /// When each request that crashes the target began to run, and its body.
+  std::vector<std::pair<instant, std::string>> crashing_runs;
   /// A request whose body contains this text crashes the target.
   std::string crash_marker = "crash-this-target";
   /// If set, decides the answer of each request after its service time,
@@ -137,12 +167,18 @@
       started_requests.push_back(w.request);
     }
     const std::string body(w.request.body.begin(), w.request.body.end());
+    const std::uint64_t generation = m_generation;
+    const std::uint64_t id = w.id;
     if (body.find(crash_marker) != std::string::npos) {
-      m_scheduler.run_after(std::chrono::milliseconds(1), [this] { crash(); });
+      crashing_runs.emplace_back(m_scheduler.now(), body);
+      m_scheduler.run_after(std::chrono::milliseconds(1),
+                            [this, id, generation] {
+                              if (generation == m_generation) {
+                                crash(id, m_options.breaks);
+                              }
+                            });
       return;
     }
-    const std::uint64_t generation = m_generation;
-    const std::uint64_t id = w.id;
     const body_bytes echo = w.request.body;
     const std::function<void(std::uint16_t)> done = [this, id, generation,
                                                      echo](
@@ -167,6 +203,14 @@
         });
   }
 
+  void lose_after(std::uint64_t id, duration d) {
+    m_scheduler.run_after(d, [this, id] {
+      if (m_unbroken.erase(id) != 0) {
+        send_result(id, {exchange_end::lost, 0, {}, {}});
+      }
+    });
+  }
+
   void send_result(std::uint64_t id, target_result r) {
     m_scheduler.run_after(std::chrono::microseconds(100),
                           [this, id, r] { m_on_result(id, r); });
@@ -177,6 +221,8 @@
   result_handler m_on_result;
   std::deque<queued_request> m_queue;
   std::map<std::uint64_t, bool> m_pending; ///< accepted, without a result
+  /// Lost in a crash; their connections have not ended yet.
+  std::set<std::uint64_t> m_unbroken;
   std::size_t m_running = 0;
   std::size_t m_received = 0;
   std::uint64_t m_generation = 1; ///< incremented by each crash
