--- a/src/kingcupslip/core/crash_record_store.cpp
+++ b/src/kingcupslip/core/crash_record_store.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::string_view crash_prefix = "crash/";
 constexpr duration retry_period = std::chrono::seconds(1);
+/// Between two writes of rows that are in the table already.
+constexpr duration rewrite_period = std::chrono::seconds(1);
 /// While a member is out of reach: at first, and once it has been for long.
 constexpr duration recent_interval = std::chrono::seconds(1);
 constexpr duration lasting_interval = std::chrono::seconds(10);
@@ -34,9 +36,7 @@
   const duration age = crash_record_ttl - (r.expires - clock.now);
   const wall_time crashed_at =
       clock.wall - std::chrono::duration_cast<wall_time>(age);
-  return json{{"digests", r.digests},
-              {"conclusive", r.conclusive},
-              {"crashed_at_ms", crashed_at.count()}}
+  return json{{"digests", r.digests}, {"crashed_at_ms", crashed_at.count()}}
       .dump();
 }
 
@@ -65,7 +65,6 @@
     }
     out.digests.push_back(it.get<std::uint64_t>());
   }
-  out.conclusive = bool_field(value, "conclusive");
   // Clocks of nodes differ; a crash in the future has just happened.
   const std::uint64_t wall_now_ms =
       static_cast<std::uint64_t>(clock.wall.count());
@@ -85,8 +84,7 @@
     : m_dependencies(std::move(d)), m_clock(clock) {}
 
 void crash_record_store::tick() {
-  if (!m_unwritten.empty() && !m_write_pending &&
-      m_clock.now >= m_next_write_at) {
+  if (!m_write_pending && m_clock.now >= m_next_write_at) {
     write_next();
   }
   const duration interval = m_read_once ? read_interval() : retry_period;
@@ -163,40 +161,89 @@
 
 void crash_record_store::write(const crash_record& r) {
   forget_expired();
-  m_own[r.id] = r;
-  m_unwritten[r.id] = r;
+  m_own[r.id].record = r;
   tick();
 }
 
+void crash_record_store::on_shrink(const crash_record& r) {
+  const auto it = m_own.find(r.id);
+  if (it != m_own.end()) {
+    it->second.record = r;
+    it->second.written = false;
+  }
+}
+
 void crash_record_store::write_next() {
-  const crash_record r = m_unwritten.begin()->second;
-  if (r.expires <= m_clock.now) {
-    m_unwritten.erase(r.id);
+  for (std::pair<const std::uint64_t, own_row>& it : m_own) {
+    own_row& row = it.second;
+    const bool in_table = row.version != 0 || !row.version_known;
+    const bool needless = row.written ||
+                          (!in_table && row.record.digests.empty()) ||
+                          row.record.expires <= m_clock.now;
+    if (needless || (in_table && m_clock.now < m_next_rewrite_at)) {
+      continue;
+    }
+    row.version_known ? write(it.first) : read_version(it.first);
     return;
   }
+}
+
+void crash_record_store::write(std::uint64_t id) {
+  const own_row& row = m_own.at(id);
+  const std::size_t digests = row.record.digests.size();
   m_write_pending = true;
   m_dependencies.table.commit(
-      {{row_key(r.id), 0, encode(r, m_clock), false}},
-      [this, id = r.id](table_status status, std::uint64_t) {
+      {{row_key(id), row.version, encode(row.record, m_clock), false}},
+      [this, id, digests](table_status status, std::uint64_t version) {
         m_write_pending = false;
+        const auto it = m_own.find(id);
+        if (it == m_own.end()) {
+          return;
+        }
+        if (status == table_status::ok) {
+          it->second.version = version;
+          it->second.written = it->second.record.digests.size() == digests;
+          m_next_rewrite_at = m_clock.now + rewrite_period;
+          return;
+        }
         // A conflict: an earlier attempt, whose answer was lost, was performed.
-        if (status == table_status::ok || status == table_status::conflict) {
-          m_unwritten.erase(id);
-        } else {
-          m_next_write_at = m_clock.now + retry_period;
+        it->second.version_known = status == table_status::unavailable;
+        m_next_write_at = m_clock.now + retry_period;
+      });
+}
+
+void crash_record_store::read_version(std::uint64_t id) {
+  const std::string key = row_key(id);
+  m_write_pending = true;
+  m_dependencies.table.read(
+      {key, "", 1},
+      [this, id, key](table_status status, const std::vector<table_row>& rows) {
+        m_write_pending = false;
+        m_next_write_at = m_clock.now + retry_period;
+        const auto it = m_own.find(id);
+        if (status != table_status::ok || it == m_own.end()) {
+          return;
         }
+        const bool found = !rows.empty() && rows.front().key == key;
+        it->second.version = found ? rows.front().version : 0;
+        it->second.version_known = true;
+        m_next_write_at = m_clock.now;
       });
 }
 
 void crash_record_store::on_table_restored() {
   forget_expired();
-  m_unwritten = m_own;
+  for (std::pair<const std::uint64_t, own_row>& it : m_own) {
+    it.second.written = false;
+    it.second.version_known = false;
+  }
   m_read_once = false;
 }
 
 void crash_record_store::forget_expired() {
   for (auto it = m_own.begin(); it != m_own.end();) {
-    it = it->second.expires <= m_clock.now ? m_own.erase(it) : std::next(it);
+    it = it->second.record.expires <= m_clock.now ? m_own.erase(it)
+                                                  : std::next(it);
   }
 }
 
--- a/src/kingcupslip/core/crash_record_store.hpp
+++ b/src/kingcupslip/core/crash_record_store.hpp
@@ -32,8 +32,11 @@
 
   void tick();
 
-  /// Writes a record; repeated until it is in the table or has expired.
+  /// Writes a record of this node; repeated until it is in the table or has
+  /// expired.
   void write(const crash_record& r);
+  /// Writes the record again if it is one of this node's.
+  void on_shrink(const crash_record& r);
 
   /// The table was restored from an older copy, which may lack records: writes
   /// this node's records again and reads the others.
@@ -44,18 +47,29 @@
   void read();
   void on_rows(const std::vector<table_row>& rows);
   void write_next();
+  void write(std::uint64_t id);
+  /// Reads the version of a row that an attempt of unknown outcome may have
+  /// written.
+  void read_version(std::uint64_t id);
   void forget_expired();
   void remove_expired(const std::vector<table_row>& rows);
 
   dependencies m_dependencies;
   const clock_reading& m_clock;
-  std::map<std::uint64_t, crash_record> m_own;       ///< by id
-  std::map<std::uint64_t, crash_record> m_unwritten; ///< of m_own
+  struct own_row {
+    crash_record record;
+    std::uint64_t version = 0; ///< in the table; 0: not there
+    bool written = false;      ///< as `record` is now
+    bool version_known = true;
+  };
+
+  std::map<std::uint64_t, own_row> m_own; ///< by id
   bool m_read_pending = false;
   bool m_write_pending = false;
   bool m_read_once = false;
   instant m_last_read_at{0};
   instant m_next_write_at{0};
+  instant m_next_rewrite_at{0};
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t samples_on_digest_mismatch = 16;
 constexpr std::size_t crashes_per_gossip = 4;
 constexpr std::size_t state_change_fanout = 8;
+/// Each node passes on what it learns once, so that all know of a crash before
+/// its cause comes again.
+constexpr std::size_t learned_crash_fanout = 3;
 
 std::string member_row_key(const std::string& data_centre,
                            const std::string& node) {
@@ -180,7 +183,6 @@
     std::unique_ptr<wire::crashT> r = std::make_unique<wire::crashT>();
     r->id = it.id;
     r->digests = std::move(it.digests);
-    r->conclusive = it.conclusive;
     r->expires_in_ms = static_cast<std::uint32_t>((it.expires - m_clock.now) /
                                                   std::chrono::milliseconds(1));
     g.crashes.push_back(std::move(r));
@@ -215,17 +217,21 @@
 
 void gossip_agent::merge_crashes(const std::string& from,
                                  const wire::gossipT& m) {
+  bool learned = false;
   for (const std::unique_ptr<wire::crashT>& it : m.crashes) {
     crash_record r;
     r.id = it->id;
     r.digests = it->digests;
-    r.conclusive = it->conclusive;
     r.expires = m_clock.now + std::chrono::milliseconds(it->expires_in_ms);
     if (m_dependencies.crash_quarantine.merge(std::move(r), m_clock.now)) {
+      learned = true;
       m_dependencies.log(event_id::crash_learned,
                          {{"crash", std::to_string(it->id)}, {"from", from}});
     }
   }
+  if (learned) {
+    gossip_to_random(learned_crash_fanout);
+  }
 }
 
 void gossip_agent::gossip_to(const std::string& node, bool answer_wanted,
--- a/src/kingcupslip/core/quarantine.cpp
+++ b/src/kingcupslip/core/quarantine.cpp
@@ -5,85 +5,149 @@
 
 #include <algorithm>
 #include <iterator>
-#include <utility>
+#include <tuple>
 
 namespace kingcupslip {
 
 namespace {
 
 constexpr std::uint32_t quarantine_crashes = 3;
-constexpr std::uint32_t quarantine_crashes_if_conclusive = 2;
+constexpr std::uint32_t quarantine_crashes_as_only_cause = 2;
+constexpr std::uint32_t alone_crashes = 2;
 constexpr std::size_t max_records = 256;
 constexpr std::size_t max_digests_per_record = 512;
+constexpr std::size_t max_completions = 4096;
 /// A record counts as recent until it was sent to this many nodes.
 constexpr std::uint32_t recent_sends = 8;
 
+/// The finalizer of SplitMix64.
+std::uint64_t mix(std::uint64_t x) {
+  x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9U;
+  x = (x ^ (x >> 27U)) * 0x94d049bb133111ebU;
+  return x ^ (x >> 31U);
+}
+
+std::uint64_t hash_of(const crash_record& r) {
+  std::uint64_t out = mix(r.id);
+  for (const std::uint64_t d : r.digests) {
+    out ^= mix(r.id + mix(d));
+  }
+  return out;
+}
+
+void sort_unique(std::vector<std::uint64_t>& digests) {
+  std::sort(digests.begin(), digests.end());
+  digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+}
+
 } // namespace
 
-void quarantine::on_crash(const std::vector<std::uint64_t>& in_flight,
-                          instant now) {
+std::uint64_t quarantine::on_crash(const std::vector<std::uint64_t>& in_flight,
+                                   instant now) {
   expire(now);
   crash_record r;
   r.id = placement_hash(m_node + "/" + std::to_string(now.count()) + "/" +
                         std::to_string(++m_last_crash));
   r.expires = now + crash_record_ttl;
-  // If a suspect was in flight it is the most likely cause, so requests that
-  // were not suspect before are not recorded.
-  const bool suspect_present =
-      std::any_of(in_flight.begin(), in_flight.end(),
-                  [&](std::uint64_t d) { return m_tallies.count(d) != 0; });
-  for (const std::uint64_t d : in_flight) {
-    if (!suspect_present || m_tallies.count(d) != 0) {
-      r.digests.push_back(d);
-    }
+  std::copy_if(
+      in_flight.begin(), in_flight.end(), std::back_inserter(r.digests),
+      [this, now](std::uint64_t d) { return !completed_lately(d, now); });
+  if (r.digests.empty()) {
+    return 0;
   }
-  std::sort(r.digests.begin(), r.digests.end());
-  r.digests.erase(std::unique(r.digests.begin(), r.digests.end()),
-                  r.digests.end());
-  r.conclusive = r.digests.size() == 1;
-  add(r);
+  sort_unique(r.digests);
+  const std::uint64_t id = r.id;
+  add(std::move(r));
   if (m_on_record) {
-    m_on_record(r);
+    m_on_record(m_records.at(id).record);
   }
+  return id;
 }
 
-void quarantine::on_completed(std::uint64_t digest) {
-  const auto tally_it = m_tallies.find(digest);
-  if (tally_it == m_tallies.end() || is_quarantined(tally_it->second)) {
+void quarantine::withdraw(std::uint64_t id) {
+  const auto it = m_records.find(id);
+  if (it != m_records.end()) {
+    shrink(it->second, {});
+  }
+}
+
+void quarantine::on_completed(std::uint64_t digest, instant now) {
+  m_completed_at[digest] = now;
+  m_completions.emplace_back(now, digest);
+  while (m_completions.size() > max_completions ||
+         now - m_completions.front().first > completion_ttl) {
+    const auto it = m_completed_at.find(m_completions.front().second);
+    if (it != m_completed_at.end() &&
+        it->second == m_completions.front().first) {
+      m_completed_at.erase(it);
+    }
+    m_completions.pop_front();
+  }
+  if (m_tallies.count(digest) == 0) {
     return;
   }
   for (std::pair<const std::uint64_t, known_record>& it : m_records) {
-    std::vector<std::uint64_t>& digests = it.second.record.digests;
-    digests.erase(std::remove(digests.begin(), digests.end(), digest),
-                  digests.end());
+    std::vector<std::uint64_t> left = it.second.record.digests;
+    const auto found = std::lower_bound(left.begin(), left.end(), digest);
+    if (found != left.end() && *found == digest) {
+      left.erase(found);
+      shrink(it.second, std::move(left));
+    }
   }
-  m_tallies.erase(tally_it);
+}
+
+bool quarantine::completed_lately(std::uint64_t digest,
+                                  instant crashed_at) const {
+  const auto it = m_completed_at.find(digest);
+  return it != m_completed_at.end() && crashed_at - it->second < completion_ttl;
 }
 
 bool quarantine::merge(crash_record r, instant now) {
   expire(now);
-  if (r.expires <= now || m_records.count(r.id) != 0) {
+  if (r.expires <= now) {
     return false;
   }
   r.expires = std::min(r.expires, now + crash_record_ttl);
+  sort_unique(r.digests);
+  const auto known = m_records.find(r.id);
+  if (known != m_records.end()) {
+    std::vector<std::uint64_t> both;
+    const std::vector<std::uint64_t>& mine = known->second.record.digests;
+    std::set_intersection(mine.begin(), mine.end(), r.digests.begin(),
+                          r.digests.end(), std::back_inserter(both));
+    shrink(known->second, std::move(both));
+    return false;
+  }
+  std::vector<std::uint64_t> left;
+  const instant crashed_at = r.expires - crash_record_ttl;
+  std::copy_if(r.digests.begin(), r.digests.end(), std::back_inserter(left),
+               [this, crashed_at](std::uint64_t d) {
+                 return !completed_lately(d, crashed_at);
+               });
+  const std::uint64_t id = r.id;
   add(std::move(r));
+  shrink(m_records.at(id), std::move(left));
   return true;
 }
 
-bool quarantine::is_suspect(std::uint64_t digest, instant now) {
+quarantine::tally quarantine::tally_of(std::uint64_t digest, instant now) {
   expire(now);
-  return m_tallies.count(digest) != 0;
+  const auto it = m_tallies.find(digest);
+  return it == m_tallies.end() ? tally{} : it->second;
 }
 
-bool quarantine::is_quarantined(std::uint64_t digest, instant now) {
-  expire(now);
-  const auto it = m_tallies.find(digest);
-  return it != m_tallies.end() && is_quarantined(it->second);
+bool quarantine::is_suspect(std::uint64_t digest, instant now) {
+  return tally_of(digest, now).crashes > 0;
+}
+
+bool quarantine::must_run_alone(std::uint64_t digest, instant now) {
+  return tally_of(digest, now).crashes >= alone_crashes;
 }
 
-bool quarantine::is_quarantined(const tally& t) {
+bool quarantine::is_quarantined(std::uint64_t digest, instant now) {
+  const tally t = tally_of(digest, now);
   return t.crashes >= quarantine_crashes ||
-         (t.crashes >= quarantine_crashes_if_conclusive && t.conclusive > 0);
+         (t.crashes >= quarantine_crashes_as_only_cause && t.as_only_cause > 0);
 }
 
 std::vector<crash_record>
@@ -99,7 +163,8 @@
   }
   std::sort(chosen.begin(), chosen.end(),
             [](const known_record* a, const known_record* b) {
-              return a->times_sent < b->times_sent;
+              return std::make_tuple(a->times_sent, b->record.expires) <
+                     std::make_tuple(b->times_sent, a->record.expires);
             });
   chosen.resize(std::min(max_count, chosen.size()));
   std::vector<crash_record> out;
@@ -110,50 +175,61 @@
   return out;
 }
 
-std::uint64_t quarantine::records_hash() const {
-  std::uint64_t out = 0;
-  for (const std::pair<const std::uint64_t, known_record>& it : m_records) {
-    out ^= it.first;
-  }
-  return out;
-}
-
 void quarantine::add(crash_record r) {
   r.digests.resize(std::min(r.digests.size(), max_digests_per_record));
   if (m_records.size() >= max_records) {
-    remove(std::min_element(
-        m_records.begin(), m_records.end(),
-        [](const record_map::value_type& a, const record_map::value_type& b) {
-          return a.second.record.expires < b.second.record.expires;
-        }));
-  }
-  for (const std::uint64_t d : r.digests) {
-    count(r, d, true);
+    evict_one();
   }
   m_next_expiry = std::min(m_next_expiry, r.expires);
-  m_records[r.id].record = std::move(r);
+  count(r, true);
+  const std::uint64_t id = r.id;
+  m_records[id].record = std::move(r);
+}
+
+void quarantine::evict_one() {
+  const auto sorts_before = [](const record_map::value_type& a,
+                               const record_map::value_type& b) {
+    const crash_record& x = a.second.record;
+    const crash_record& y = b.second.record;
+    return std::make_tuple(!x.digests.empty(), x.expires) <
+           std::make_tuple(!y.digests.empty(), y.expires);
+  };
+  remove(std::min_element(m_records.begin(), m_records.end(), sorts_before));
 }
 
 quarantine::record_map::iterator quarantine::remove(record_map::iterator it) {
-  for (const std::uint64_t d : it->second.record.digests) {
-    count(it->second.record, d, false);
-  }
+  count(it->second.record, false);
   return m_records.erase(it);
 }
 
-void quarantine::count(const crash_record& r, std::uint64_t digest,
-                       bool added) {
-  tally& t = m_tallies[digest];
-  const std::uint32_t conclusive = r.conclusive ? 1 : 0;
-  if (added) {
-    ++t.crashes;
-    t.conclusive += conclusive;
+void quarantine::shrink(known_record& r, std::vector<std::uint64_t> digests) {
+  if (digests.size() == r.record.digests.size()) {
     return;
   }
-  --t.crashes;
-  t.conclusive -= conclusive;
-  if (t.crashes == 0) {
-    m_tallies.erase(digest);
+  count(r.record, false);
+  r.record.digests = std::move(digests);
+  r.times_sent = 0;
+  count(r.record, true);
+  if (m_on_shrink) {
+    m_on_shrink(r.record);
+  }
+}
+
+void quarantine::count(const crash_record& r, bool added) {
+  m_hash ^= hash_of(r);
+  const std::uint32_t only_cause = r.digests.size() == 1 ? 1 : 0;
+  for (const std::uint64_t d : r.digests) {
+    tally& t = m_tallies[d];
+    if (added) {
+      ++t.crashes;
+      t.as_only_cause += only_cause;
+      continue;
+    }
+    --t.crashes;
+    t.as_only_cause -= only_cause;
+    if (t.crashes == 0) {
+      m_tallies.erase(d);
+    }
   }
 }
 
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -90,6 +90,8 @@
     m_crash_records.write(r);
     m_gossip.on_crash_recorded();
   });
+  m_quarantine.set_on_shrink(
+      [this](const crash_record& r) { m_crash_records.on_shrink(r); });
   m_local_target.set_cold_start(std::nullopt);
 }
 
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -63,7 +63,9 @@
                            quarantine& crash_quarantine)
     : m_options(std::move(options)), m_hooks(std::move(hooks)), m_clock(clock),
       m_quarantine(crash_quarantine),
-      m_crash_detector(crash_quarantine, m_hooks.log),
+      m_crash_detector(
+          crash_quarantine, [this] { return running_at_instance(); },
+          m_hooks.log),
       m_limit(m_options.max_in_flight),
       m_downstream(
           [this](const std::string& route, double rate_per_s, double failed) {
@@ -126,6 +128,7 @@
     return;
   }
   run r = std::move(it->second);
+  it->second.ended = true;
   m_body_bytes -= r.body_bytes;
   update_limits(r, result);
   const bool moved = result.end == exchange_end::answered &&
@@ -172,15 +175,13 @@
   const bool new_instance =
       a.instance != m_instance || a.start_time_ms != m_start_time_ms;
   if (new_instance) {
+    m_crash_detector.on_instance_ended(instance_end::replaced, m_clock.now);
     m_limit.on_target_restart();
     m_silence_detector.on_target_restart();
     ++m_instance_number;
     m_notices.on_new_instance(a.instance, a.start_time_ms, m_clock.now);
     m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
-  if (new_instance) {
-    m_crash_detector.on_instance_ended(m_clock.now);
-  }
   m_instance = a.instance;
   m_instance_disproved = false;
   m_start_time_ms = a.start_time_ms;
@@ -197,7 +198,7 @@
 void target_stage::set_service(const std::string& service) {
   if (service != m_options.service) {
     m_options.service = service;
-    m_crash_detector.on_instance_ended(m_clock.now);
+    m_crash_detector.on_instance_ended(instance_end::silent, m_clock.now);
     stop_sending();
   }
 }
@@ -260,7 +261,7 @@
   const bool silent = m_clock.now - m_announced_at > m_options.announce_timeout;
   if (m_ready && silent) {
     m_hooks.log(event_id::target_silent, {{"instance", m_instance}});
-    m_crash_detector.on_instance_ended(m_clock.now);
+    m_crash_detector.on_instance_ended(instance_end::silent, m_clock.now);
     stop_sending();
   }
   find_silent_runs();
@@ -485,9 +486,9 @@
       to_shed.push_back({w->id, reason::quarantined});
       continue;
     }
-    if (m_quarantine.is_suspect(digest, m_clock.now) && suspect_running()) {
-      // Only one suspect runs at a time, so that a second crash identifies its
-      // cause. This one is shed rather than left to block the queue.
+    if (m_quarantine.must_run_alone(digest, m_clock.now) && suspect_running()) {
+      // Only one such request runs at a time, so that another crash identifies
+      // its cause. This one is shed rather than left to block the queue.
       to_shed.push_back({w->id, reason::shed});
       continue;
     }
@@ -515,7 +516,7 @@
   r.kind = call.request.host + first_segment(call.request.path);
   r.body_bytes = call.body_bytes;
   r.handler = std::move(call.handler);
-  if (m_quarantine.is_suspect(r.digest, m_clock.now)) {
+  if (m_quarantine.must_run_alone(r.digest, m_clock.now)) {
     m_suspect_run = id;
   }
   if (cold()) {
@@ -605,25 +606,33 @@
 
 void target_stage::update_crashes(std::uint64_t run_id, const run& r,
                                   const target_result& result, bool moved) {
-  if (result.end == exchange_end::answered && !moved) {
-    m_crash_detector.on_run_answered(run_id, m_clock.now);
-    const bool ran = !is_overload_answer(result) &&
-                     !m_options.protocol.is_not_run_answer(result);
-    if (ran) {
-      m_quarantine.on_completed(r.digest);
-    }
+  const bool answered = result.end == exchange_end::answered && !moved;
+  // A request that is still at work at its deadline may crash the target yet.
+  const bool finished = answered && !is_overload_answer(result) &&
+                        result.status != http_status::gateway_timeout &&
+                        !m_options.protocol.is_not_run_answer(result);
+  if (finished) {
+    m_quarantine.on_completed(r.digest, m_clock.now);
+  }
+  if (r.instance_number != m_instance_number) {
+    return;
+  }
+  const crash_detector::run ended{run_id, r.digest, r.started_at};
+  if (answered) {
+    m_crash_detector.on_run_answered(ended, m_clock.now);
     return;
   }
   const bool in_time = !r.cancelled && m_clock.now < r.deadline;
-  if (result.end == exchange_end::lost && in_time && !m_target_draining) {
-    m_crash_detector.on_run_lost(run_id, running_digests(), m_clock.now);
-  } else {
-    m_crash_detector.on_run_stopped(run_id, m_clock.now);
+  const bool sent = result.end == exchange_end::lost;
+  if (sent && in_time && !m_target_draining) {
+    m_crash_detector.on_run_lost(ended, m_clock.now);
+  } else if (sent && !m_target_draining) {
+    m_crash_detector.on_run_stopped(ended, m_clock.now);
   }
-  const bool refused =
-      result.end == exchange_end::not_connected && !r.cancelled;
-  if (moved || refused) {
-    m_crash_detector.on_instance_ended(m_clock.now);
+  if (moved) {
+    m_crash_detector.on_instance_ended(instance_end::silent, m_clock.now);
+  } else if (result.end == exchange_end::not_connected && !r.cancelled) {
+    m_crash_detector.on_instance_ended(instance_end::refused, m_clock.now);
   }
 }
 
@@ -721,10 +730,13 @@
   }
 }
 
-crash_detector::digests_by_run target_stage::running_digests() const {
-  crash_detector::digests_by_run out;
+std::vector<crash_detector::run> target_stage::running_at_instance() const {
+  std::vector<crash_detector::run> out;
   for (const std::pair<const std::uint64_t, run>& it : m_runs) {
-    out.emplace(it.first, it.second.digest);
+    const run& r = it.second;
+    if (!r.ended && r.instance_number == m_instance_number) {
+      out.push_back({it.first, r.digest, r.started_at});
+    }
   }
   return out;
 }
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -242,6 +242,7 @@
     bool idempotent = true;
     bool cancelled = false;
     bool silent = false; ///< the target does not work on it
+    bool ended = false;  ///< its result is being handled
     std::size_t body_bytes = 0;
     outcome_handler handler;
   };
@@ -273,7 +274,8 @@
   /// Runs that the target works on.
   std::size_t busy() const { return m_runs.size() - m_silent_runs; }
   void log_failed_run(const run& r, const target_result& result, bool moved);
-  crash_detector::digests_by_run running_digests() const;
+  /// The runs of the current instance that have not ended.
+  std::vector<crash_detector::run> running_at_instance() const;
   bool suspect_running() const { return m_suspect_run != 0; }
   std::size_t queue_capacity() const;
   duration expected_service_time() const;
--- a/tests/core/components_test.cpp
+++ b/tests/core/components_test.cpp
@@ -213,8 +213,10 @@
 TEST(components, requests_beside_a_crash_are_not_quarantined) {
   quarantine q;
   q.on_crash({1, 2, 3}, 1h);
-  q.on_completed(2);
+  q.on_completed(2, 1h);
   q.on_crash({1, 4}, 1h);
+  CHECK_FALSE(q.is_quarantined(4, 1h));
+  q.on_completed(4, 1h);
   CHECK_TRUE(q.is_quarantined(1, 1h));
   CHECK_FALSE(q.is_quarantined(3, 1h));
   CHECK_FALSE(q.is_suspect(2, 1h));
@@ -222,6 +224,45 @@
   CHECK_FALSE(q.is_quarantined(1, 1h + 11min));
 }
 
+// A suspect beside the cause of a crash displaced the cause in its record.
+TEST(components, a_crash_beside_a_suspect_counts_for_its_cause) {
+  quarantine q;
+  q.on_crash({1, 2}, 1h);
+  q.on_crash({2, 3}, 1h);
+  q.on_completed(2, 1h);
+  q.on_crash({3}, 1h);
+  CHECK_TRUE(q.is_quarantined(3, 1h));
+  CHECK_FALSE(q.is_suspect(2, 1h));
+}
+
+TEST(components, a_completion_elsewhere_clears_a_request_at_all_nodes) {
+  quarantine a("a");
+  quarantine b("b");
+  a.on_crash({1, 2}, 1h);
+  const std::vector<crash_record> records = a.records_to_gossip(8, 0, 1h);
+  LONGS_EQUAL(1, records.size());
+  CHECK_TRUE(b.merge(records.front(), 1h));
+  b.on_completed(2, 1h);
+  CHECK_FALSE(a.records_hash() == b.records_hash());
+  for (const crash_record& it : b.records_to_gossip(8, 0, 1h)) {
+    CHECK_FALSE(a.merge(it, 1h));
+  }
+  CHECK_FALSE(a.is_suspect(2, 1h));
+  CHECK_TRUE(a.is_suspect(1, 1h));
+  CHECK_TRUE(a.records_hash() == b.records_hash());
+}
+
+TEST(components, a_request_answered_shortly_before_a_crash_is_no_suspect) {
+  quarantine q;
+  q.on_completed(1, 1h);
+  q.on_completed(2, 1h);
+  q.on_crash({1, 3}, 1h + 10s);
+  CHECK_FALSE(q.is_suspect(1, 1h + 10s));
+  CHECK_TRUE(q.is_suspect(3, 1h + 10s));
+  q.on_crash({2}, 1h + 1min);
+  CHECK_TRUE(q.is_suspect(2, 1h + 1min));
+}
+
 TEST(components, nested_calls_share_the_retry_budget_of_their_span) {
   span_retry_budget b;
   b.open(1, 4);
