Target stage: runs at an instance that was replaced end at once

What callers saw: after a crash that leaves connections open, a fifth to two thirds of the requests for its service were served, up to their deadlines.

Cause: a run whose connection does not break keeps its place until its deadline, though another instance has announced itself at the address. With 10 slots and deadlines of 5 s, a target that came back had no free slot.

Change: an announcement of another instance ends the runs of earlier ones; idempotent requests go on to another target with the time that they have left.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -192,9 +192,24 @@
   m_max_concurrency = a.max_concurrency;
   update_cold_start(a, new_instance);
   m_ready = true;
+  end_runs_of_earlier_instances();
   start_queued();
 }
 
+void target_stage::end_runs_of_earlier_instances() {
+  std::vector<std::uint64_t> to_end;
+  for (std::pair<const std::uint64_t, run>& it : m_runs) {
+    run& r = it.second;
+    if (r.instance_number != m_instance_number && !r.outlived) {
+      r.outlived = true;
+      to_end.push_back(it.first);
+    }
+  }
+  for (const std::uint64_t it : to_end) {
+    m_hooks.cancel(it);
+  }
+}
+
 void target_stage::set_service(const std::string& service) {
   if (service != m_options.service) {
     m_options.service = service;
@@ -709,6 +724,7 @@
                          : result.end == exchange_end::not_connected
                              ? "not_connected"
                          : r.cancelled ? "cancelled"
+                         : r.outlived  ? "outlived"
                          : r.silent    ? "silent"
                                        : "lost";
   m_hooks.log(event_id::run_failed,
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -241,8 +241,9 @@
     std::string kind; ///< of the request, for the silence detector
     bool idempotent = true;
     bool cancelled = false;
-    bool silent = false; ///< the target does not work on it
-    bool ended = false;  ///< its result is being handled
+    bool silent = false;   ///< the target does not work on it
+    bool ended = false;    ///< its result is being handled
+    bool outlived = false; ///< another instance runs at the address now
     std::size_t body_bytes = 0;
     outcome_handler handler;
   };
@@ -274,6 +275,9 @@
   /// Runs that the target works on.
   std::size_t busy() const { return m_runs.size() - m_silent_runs; }
   void log_failed_run(const run& r, const target_result& result, bool moved);
+  /// Ends the runs of instances that another one has replaced: no answer can
+  /// come, though their connections may be open.
+  void end_runs_of_earlier_instances();
   /// The runs of the current instance that have not ended.
   std::vector<crash_detector::run> running_at_instance() const;
   bool suspect_running() const { return m_suspect_run != 0; }
