Entries record a crash if the node beside the target ended first (BUDGET)

What callers saw: where the node beside a target ended a few milliseconds after a crash, nobody knew of the crash, and its cause was sent on.

Cause: only the node beside the target records a crash, once it is sure; what it had told the entries of the requests, that their runs were lost, was not used.

Change: entries remember for 15 s which runs other nodes reported lost. If such a node ends and no record of it arrives within 0.5 to 1.5 s, an entry records what it knows. Such a record is partial: the only request in it need not be the cause. Records name the node beside the target.

Ruled out: reporting each loss at once. A reset of all connections would then bring about a record at each target, and push real ones out.

--- a/src/kingcupslip/core/crash_record_store.cpp
+++ b/src/kingcupslip/core/crash_record_store.cpp
@@ -36,7 +36,10 @@
   const duration age = crash_record_ttl - (r.expires - clock.now);
   const wall_time crashed_at =
       clock.wall - std::chrono::duration_cast<wall_time>(age);
-  return json{{"digests", r.digests}, {"crashed_at_ms", crashed_at.count()}}
+  return json{{"node", r.node},
+              {"partial", r.partial},
+              {"digests", r.digests},
+              {"crashed_at_ms", crashed_at.count()}}
       .dump();
 }
 
@@ -65,6 +68,8 @@
     }
     out.digests.push_back(it.get<std::uint64_t>());
   }
+  out.node = text_field(value, "node");
+  out.partial = bool_field(value, "partial");
   // Clocks of nodes differ; a crash in the future has just happened.
   const std::uint64_t wall_now_ms =
       static_cast<std::uint64_t>(clock.wall.count());
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -208,6 +208,10 @@
                             const std::string& node,
                             std::uint32_t nested_retries, outcome o) {
   record_target_health(node, o);
+  if (m_on_run_lost && o.reported &&
+      o.refusal_reason == reason::connection_lost) {
+    m_on_run_lost(node, job->request.digest);
+  }
   if (job->ended) {
     return;
   }
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -77,6 +77,13 @@
              target_stage& local_target, message_sender send,
              member_table::random_source random);
 
+  /// Called with the node beside the target, and the request's digest, once
+  /// that node has reported that the connection of a run broke.
+  void set_on_run_lost(
+      std::function<void(const std::string& node, std::uint64_t digest)> hook) {
+    m_on_run_lost = std::move(hook);
+  }
+
   /// Starts the first attempt of a job.
   void dispatch(const std::shared_ptr<dispatch_job>& job);
 
@@ -122,6 +129,7 @@
   target_stage& m_local_target;
   message_sender m_send;
   member_table::random_source m_random;
+  std::function<void(const std::string&, std::uint64_t)> m_on_run_lost;
   std::optional<instant> m_started_at; ///< the first tick
   std::map<std::string, retry_budget> m_retry_budgets;
   std::multimap<instant, std::shared_ptr<dispatch_job>> m_delayed_retries;
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -182,6 +182,8 @@
            crashes_per_gossip, known_crashes, m_clock.now)) {
     std::unique_ptr<wire::crashT> r = std::make_unique<wire::crashT>();
     r->id = it.id;
+    r->node = it.node;
+    r->partial = it.partial;
     r->digests = std::move(it.digests);
     r->expires_in_ms = static_cast<std::uint32_t>((it.expires - m_clock.now) /
                                                   std::chrono::milliseconds(1));
@@ -221,12 +223,16 @@
   for (const std::unique_ptr<wire::crashT>& it : m.crashes) {
     crash_record r;
     r.id = it->id;
+    r.node = it->node;
+    r.partial = it->partial;
     r.digests = it->digests;
     r.expires = m_clock.now + std::chrono::milliseconds(it->expires_in_ms);
     if (m_dependencies.crash_quarantine.merge(std::move(r), m_clock.now)) {
       learned = true;
       m_dependencies.log(event_id::crash_learned,
-                         {{"crash", std::to_string(it->id)}, {"from", from}});
+                         {{"crash", std::to_string(it->id)},
+                          {"beside", it->node},
+                          {"from", from}});
     }
   }
   if (learned) {
--- a/src/kingcupslip/core/outcome.hpp
+++ b/src/kingcupslip/core/outcome.hpp
@@ -35,6 +35,8 @@
   /// The run failed, and while it was in progress a nested call of the
   /// target was refused because of overload.
   bool nested_overload = false;
+  /// Whether the node beside the target has said how the run ended.
+  bool reported = false;
   std::vector<header> headers;
   body_bytes body;
 };
--- a/src/kingcupslip/core/quarantine.cpp
+++ b/src/kingcupslip/core/quarantine.cpp
@@ -44,8 +44,24 @@
 
 std::uint64_t quarantine::on_crash(const std::vector<std::uint64_t>& in_flight,
                                    instant now) {
-  expire(now);
   crash_record r;
+  r.node = m_node;
+  return record(std::move(r), in_flight, now);
+}
+
+void quarantine::on_crash_beside(const std::string& node,
+                                 const std::vector<std::uint64_t>& in_flight,
+                                 instant now) {
+  crash_record r;
+  r.node = node;
+  r.partial = true;
+  record(std::move(r), in_flight, now);
+}
+
+std::uint64_t quarantine::record(crash_record r,
+                                 const std::vector<std::uint64_t>& in_flight,
+                                 instant now) {
+  expire(now);
   r.id = placement_hash(m_node + "/" + std::to_string(now.count()) + "/" +
                         std::to_string(++m_last_crash));
   r.expires = now + crash_record_ttl;
@@ -64,6 +80,18 @@
   return id;
 }
 
+bool quarantine::is_recorded(const std::string& node, std::uint64_t digest,
+                             instant since) const {
+  return std::any_of(
+      m_records.begin(), m_records.end(),
+      [&node, digest, since](const record_map::value_type& it) {
+        const crash_record& r = it.second.record;
+        return r.node == node && r.expires - crash_record_ttl >= since &&
+               (!r.partial ||
+                std::binary_search(r.digests.begin(), r.digests.end(), digest));
+      });
+}
+
 void quarantine::withdraw(std::uint64_t id) {
   const auto it = m_records.find(id);
   if (it != m_records.end()) {
@@ -217,7 +245,7 @@
 
 void quarantine::count(const crash_record& r, bool added) {
   m_hash ^= hash_of(r);
-  const std::uint32_t only_cause = r.digests.size() == 1 ? 1 : 0;
+  const std::uint32_t only_cause = !r.partial && r.digests.size() == 1 ? 1 : 0;
   for (const std::uint64_t d : r.digests) {
     tally& t = m_tallies[d];
     if (added) {
--- a/src/kingcupslip/core/quarantine.hpp
+++ b/src/kingcupslip/core/quarantine.hpp
@@ -26,7 +26,10 @@
 /// those that any node has found innocent since, so that records of the same id
 /// merge to the digests that are in both.
 struct crash_record {
-  std::uint64_t id = 0;               ///< the same at all nodes
+  std::uint64_t id = 0; ///< the same at all nodes
+  std::string node;     ///< beside the target
+  /// Recorded by another node, which knows only some of what was in flight.
+  bool partial = false;
   std::vector<std::uint64_t> digests; ///< sorted
   instant expires{0};
 };
@@ -62,6 +65,15 @@
   /// record; 0: none of the digests can be the cause.
   std::uint64_t on_crash(const std::vector<std::uint64_t>& in_flight,
                          instant now);
+  /// The target beside another node crashed, and the node ended before it
+  /// could record that.
+  void on_crash_beside(const std::string& node,
+                       const std::vector<std::uint64_t>& in_flight,
+                       instant now);
+  /// Whether a crash beside `node` since then is recorded: by that node itself,
+  /// or by another one with this digest.
+  bool is_recorded(const std::string& node, std::uint64_t digest,
+                   instant since) const;
   /// What was recorded under this id was no crash.
   void withdraw(std::uint64_t id);
 
@@ -97,6 +109,9 @@
   };
   using record_map = std::map<std::uint64_t, known_record>; ///< by id
 
+  std::uint64_t record(crash_record r,
+                       const std::vector<std::uint64_t>& in_flight,
+                       instant now);
   void add(crash_record r);
   void evict_one();
   record_map::iterator remove(record_map::iterator it);
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -55,6 +55,7 @@
   out.retry_after = std::chrono::milliseconds(reply.retry_after_ms);
   out.retries_used = reply.retries_used;
   out.nested_overload = reply.overload_below;
+  out.reported = true;
   out.headers = from_wire(reply.headers);
   out.body = std::move(reply.body);
   return out;
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -66,6 +66,8 @@
             return m_state.data_centre_out_of_service(m.data_centre);
           },
           m_calls, m_local_target, m_hooks.send, m_hooks.random),
+      m_lost_runs(m_quarantine, m_members, m_hooks.random, m_hooks.log,
+                  m_clock),
       m_quota(m_members, m_hooks.send, m_hooks.random),
       m_entry(routed_entry::dependencies{m_state, m_dispatcher, m_local_target,
                                          m_quota, m_quarantine, m_hooks.random,
@@ -90,6 +92,10 @@
     m_crash_records.write(r);
     m_gossip.on_crash_recorded();
   });
+  m_dispatcher.set_on_run_lost(
+      [this](const std::string& node, std::uint64_t digest) {
+        m_lost_runs.on_run_lost(node, digest);
+      });
   m_quarantine.set_on_shrink(
       [this](const crash_record& r) { m_crash_records.on_shrink(r); });
   m_local_target.set_cold_start(std::nullopt);
@@ -104,6 +110,7 @@
   m_local_target.tick();
   update_target_state();
   m_dispatcher.tick();
+  m_lost_runs.tick();
   m_entry.tick();
   m_calls.expire(m_clock.now);
   tick_drain();
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -6,6 +6,7 @@
 #include "kingcupslip/core/crash_record_store.hpp"
 #include "kingcupslip/core/gossip_agent.hpp"
 #include "kingcupslip/core/incoming_calls.hpp"
+#include "kingcupslip/core/lost_runs.hpp"
 #include "kingcupslip/core/routed_entry.hpp"
 
 #include <cstdint>
@@ -122,6 +123,7 @@
   pending_calls m_calls;
   target_stage m_local_target;
   dispatcher m_dispatcher;
+  lost_runs m_lost_runs;
   team_quota m_quota;
   routed_entry m_entry;
   incoming_calls m_incoming_calls;
