Target stage: runs of an earlier instance do not shrink the limit of the next

A result of a run that an earlier instance had begun counted against the learned limit of the instance that replaced it: with the runs that now end when it announces itself, once for each of them. No effect where targets announce their slots.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -602,7 +602,7 @@
 }
 
 void target_stage::update_limits(const run& r, const target_result& result) {
-  if (r.cancelled) {
+  if (r.cancelled || r.instance_number != m_instance_number) {
     return;
   }
   const bool out_of_time =
--- a/tests/core/crashing_request_test.cpp
+++ b/tests/core/crashing_request_test.cpp
@@ -111,7 +111,8 @@
               {[this](std::uint64_t run, const target_request&) {
                  runs.push_back(run);
                },
-               [](std::uint64_t) {}, [](event_id, const event_fields&) {}},
+               [this](std::uint64_t run) { cancelled.push_back(run); },
+               [](event_id, const event_fields&) {}},
               clock, suspects) {
     clock.now = seconds(1);
     announce("i1", 1);
@@ -121,7 +122,7 @@
     target_announcement a;
     a.instance = instance;
     a.sequence = sequence;
-    a.max_concurrency = 10;
+    a.max_concurrency = slots;
     stage.on_announce(a);
   }
 
@@ -150,7 +151,9 @@
 
   clock_reading clock;
   quarantine suspects;
+  std::size_t slots = 10; ///< that it announces; 0: none
   std::vector<std::uint64_t> runs;
+  std::vector<std::uint64_t> cancelled;
   std::uint64_t last_ticket = 0;
   target_stage stage;
 
@@ -358,3 +361,32 @@
   t.end(running.front(), exchange_end::answered);
   LONGS_EQUAL(before, t.runs.size());
 }
+
+// Runs whose connections stayed open after a crash kept the places of the
+// instance that came back.
+TEST(crashing_request, ends_the_runs_beside_it_once_its_target_is_replaced) {
+  staged_target t;
+  const std::uint64_t cause = t.start(1);
+  const std::uint64_t beside = t.start(2);
+  t.end(cause, exchange_end::lost);
+  t.pass(seconds(2));
+  t.announce("i2", 1);
+  LONGS_EQUAL(1, t.cancelled.size());
+  LONGS_EQUAL(beside, t.cancelled.front());
+  t.announce("i2", 2);
+  LONGS_EQUAL(1, t.cancelled.size());
+}
+
+// What an instance had run before it ended shrank the limit of the next one.
+TEST(crashing_request, does_not_shrink_the_limit_of_the_next_instance) {
+  staged_target t;
+  t.slots = 0;
+  t.announce("i2", 1);
+  const std::uint64_t first = t.start(1);
+  const std::uint64_t second = t.start(2);
+  t.announce("i3", 1);
+  const std::size_t limit = t.stage.limit();
+  t.end(first, exchange_end::lost);
+  t.end(second, exchange_end::lost);
+  LONGS_EQUAL(limit, t.stage.limit());
+}
