Crash detector: a crash stays known while its target is down

Reports whose instance was seen to end are now withdrawn by a sign of life only. Runs at an instance that had said that it leaves are no suspects, and all that runs at an instance that is replaced is.

Tests: crashing_request.stays_a_suspect_while_its_target_is_down, .is_no_suspect_if_its_target_had_said_that_it_leaves.

--- a/src/kingcupslip/core/crash_detector.cpp
+++ b/src/kingcupslip/core/crash_detector.cpp
@@ -77,12 +77,17 @@
   const unanswered_run* broken = last_broken();
   if (how == instance_end::replaced) {
     // What runs there still is lost, whether a connection broke or not.
-    report_crash(name_of(how), broken != nullptr ? broken->ended_at : now, now);
+    report_crash(name_of(how), now, now);
     m_unanswered.clear();
     m_reports.clear();
-  } else if (broken != nullptr) {
+    return;
+  }
+  if (broken != nullptr) {
     report_crash(name_of(how), broken->ended_at, now);
   }
+  for (report& it : m_reports) {
+    it.confirmed = true;
+  }
 }
 
 void crash_detector::on_planned_end() {
@@ -90,7 +95,7 @@
 }
 
 void crash_detector::tick(instant now) {
-  dismiss(now - max_confirmation_delay, "not_confirmed");
+  dismiss_unconfirmed(now - max_confirmation_delay);
   const unanswered_run* broken = last_broken();
   if (broken != nullptr && now - broken->ended_at >= report_delay) {
     report_crash("no_answer", broken->ended_at, now);
@@ -134,7 +139,7 @@
       m_log(event_id::request_quarantined, {{"digest", std::to_string(d)}});
     }
   }
-  m_reports.push_back({record, started_by, std::move(digests)});
+  m_reports.push_back({record, started_by, false, std::move(digests)});
 }
 
 void crash_detector::log_crash(
@@ -146,6 +151,17 @@
 }
 
 void crash_detector::dismiss(instant lost_by, const char* why) {
+  dismiss_if(lost_by, why, [](const report&) { return true; });
+}
+
+void crash_detector::dismiss_unconfirmed(instant lost_by) {
+  dismiss_if(lost_by, "not_confirmed",
+             [](const report& r) { return !r.confirmed; });
+}
+
+void crash_detector::dismiss_if(
+    instant lost_by, const char* why,
+    const std::function<bool(const report&)>& withdrawn) {
   const auto outlived = [lost_by](const unanswered_run& u) {
     return u.ended_at <= lost_by;
   };
@@ -157,7 +173,7 @@
       m_unanswered.end());
   bool any_withdrawn = false;
   for (auto it = m_reports.begin(); it != m_reports.end();) {
-    if (it->lost_at > lost_by) {
+    if (it->lost_at > lost_by || !withdrawn(*it)) {
       ++it;
       continue;
     }
--- a/src/kingcupslip/core/crash_detector.hpp
+++ b/src/kingcupslip/core/crash_detector.hpp
@@ -67,7 +67,8 @@
   /// A crash that was reported.
   struct report {
     std::uint64_t record = 0;
-    instant lost_at{0}; ///< the last loss before it
+    instant lost_at{0};     ///< the last loss before it
+    bool confirmed = false; ///< the instance was seen to have ended
     std::vector<std::uint64_t> digests;
   };
 
@@ -80,6 +81,10 @@
                  const std::vector<std::uint64_t>& digests) const;
   /// Forgets what was lost by `lost_by`, and withdraws the reports of it.
   void dismiss(instant lost_by, const char* why);
+  /// The same, but keeps reports that are confirmed.
+  void dismiss_unconfirmed(instant lost_by);
+  void dismiss_if(instant lost_by, const char* why,
+                  const std::function<bool(const report&)>& withdrawn);
   /// Null if no connection broke.
   const unanswered_run* last_broken() const;
 
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -175,6 +175,9 @@
   const bool new_instance =
       a.instance != m_instance || a.start_time_ms != m_start_time_ms;
   if (new_instance) {
+    if (m_target_draining) {
+      m_crash_detector.on_planned_end();
+    }
     m_crash_detector.on_instance_ended(instance_end::replaced, m_clock.now);
     m_limit.on_target_restart();
     m_silence_detector.on_target_restart();
@@ -750,7 +753,8 @@
   std::vector<crash_detector::run> out;
   for (const std::pair<const std::uint64_t, run>& it : m_runs) {
     const run& r = it.second;
-    if (!r.ended && r.instance_number == m_instance_number) {
+    if (!r.ended && !m_target_draining &&
+        r.instance_number == m_instance_number) {
       out.push_back({it.first, r.digest, r.started_at});
     }
   }
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -278,7 +278,8 @@
   /// Ends the runs of instances that another one has replaced: no answer can
   /// come, though their connections may be open.
   void end_runs_of_earlier_instances();
-  /// The runs of the current instance that have not ended.
+  /// The runs of the current instance that have not ended; none if it leaves,
+  /// as it may end with them.
   std::vector<crash_detector::run> running_at_instance() const;
   bool suspect_running() const { return m_suspect_run != 0; }
   std::size_t queue_capacity() const;
--- a/tests/core/crashing_request_test.cpp
+++ b/tests/core/crashing_request_test.cpp
@@ -390,3 +390,26 @@
   t.end(second, exchange_end::lost);
   LONGS_EQUAL(limit, t.stage.limit());
 }
+
+// A target that did not come back for long was taken for one that had never
+// crashed.
+TEST(crashing_request, stays_a_suspect_while_its_target_is_down) {
+  staged_target t;
+  t.end(t.start(1), exchange_end::lost);
+  t.pass(milliseconds(50));
+  t.end(t.start(2), exchange_end::not_connected);
+  t.pass(seconds(20));
+  CHECK(t.suspects.is_suspect(1, t.clock.now));
+  t.announce("i2", 1);
+  CHECK(t.suspects.is_suspect(1, t.clock.now));
+}
+
+TEST(crashing_request, is_no_suspect_if_its_target_had_said_that_it_leaves) {
+  staged_target t;
+  const std::uint64_t running = t.start(1);
+  t.stage.on_deregister("i1", 0);
+  t.pass(seconds(2));
+  t.announce("i2", 1);
+  t.end(running, exchange_end::lost);
+  CHECK_FALSE(t.suspects.is_suspect(1, t.clock.now));
+}
