--- a/src/kingcupslip/core/crash_detector.cpp
+++ b/src/kingcupslip/core/crash_detector.cpp
@@ -97,7 +97,9 @@
 void crash_detector::tick(instant now) {
   dismiss_unconfirmed(now - max_confirmation_delay);
   const unanswered_run* broken = last_broken();
-  if (broken != nullptr && now - broken->ended_at >= report_delay) {
+  if (broken != nullptr && broken->ended_at > m_reported_until &&
+      now - broken->ended_at >= report_delay) {
+    m_reported_until = broken->ended_at;
     report_crash("no_answer", broken->ended_at, now);
   }
 }
--- a/src/kingcupslip/core/crash_detector.hpp
+++ b/src/kingcupslip/core/crash_detector.hpp
@@ -34,7 +34,6 @@
 public:
   /// A run of the current instance.
   struct run {
-    std::uint64_t id = 0;
     std::uint64_t digest = 0;
     instant started_at{0};
   };
@@ -95,6 +94,7 @@
   /// their ends. Bounded.
   std::vector<unanswered_run> m_unanswered;
   std::vector<report> m_reports; ///< of the current instance
+  instant m_reported_until{0};   ///< the last loss that a tick has reported
 };
 
 } // namespace kingcupslip
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -134,7 +134,7 @@
   const bool moved = result.end == exchange_end::answered &&
                      m_options.protocol.is_moved_answer &&
                      m_options.protocol.is_moved_answer(result);
-  update_crashes(run_id, r, result, moved);
+  update_crashes(r, result, moved);
   if (!moved) {
     update_notices(r, result);
   }
@@ -622,8 +622,8 @@
   m_limit.on_answer(m_clock.now - r.started_at, m_runs.size(), m_clock.now);
 }
 
-void target_stage::update_crashes(std::uint64_t run_id, const run& r,
-                                  const target_result& result, bool moved) {
+void target_stage::update_crashes(const run& r, const target_result& result,
+                                  bool moved) {
   const bool answered = result.end == exchange_end::answered && !moved;
   // A request that is still at work at its deadline may crash the target yet.
   const bool finished = answered && !is_overload_answer(result) &&
@@ -635,7 +635,7 @@
   if (r.instance_number != m_instance_number) {
     return;
   }
-  const crash_detector::run ended{run_id, r.digest, r.started_at};
+  const crash_detector::run ended{r.digest, r.started_at};
   if (answered) {
     m_crash_detector.on_run_answered(ended, m_clock.now);
     return;
@@ -755,7 +755,7 @@
     const run& r = it.second;
     if (!r.ended && !m_target_draining &&
         r.instance_number == m_instance_number) {
-      out.push_back({it.first, r.digest, r.started_at});
+      out.push_back({r.digest, r.started_at});
     }
   }
   return out;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -258,8 +258,7 @@
                                      std::uint64_t span_id,
                                      duration time_left) const;
   void update_limits(const run& r, const target_result& result);
-  void update_crashes(std::uint64_t run_id, const run& r,
-                      const target_result& result, bool moved);
+  void update_crashes(const run& r, const target_result& result, bool moved);
   /// `moved`: another target has the address now.
   outcome make_outcome(const run& r, target_result result, bool moved) const;
   /// Whether a run failed and a nested call was refused because of overload
