--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -331,9 +331,9 @@
   std::unordered_map<std::uint64_t, std::uint64_t> m_run_by_ticket;
   std::map<std::uint32_t, std::uint64_t> m_epochs; ///< highest by key slot
   std::uint64_t m_last_id = 0;                     ///< of tickets and runs
-  std::uint64_t m_suspect_run = 0;                 ///< 0: none
-  std::size_t m_silent_runs = 0;                   ///< of `m_runs`
-  std::size_t m_body_bytes = 0; ///< of queued and running requests
+  std::uint64_t m_suspect_run = 0; ///< one that runs alone; 0: none
+  std::size_t m_silent_runs = 0;   ///< of `m_runs`
+  std::size_t m_body_bytes = 0;    ///< of queued and running requests
   std::string m_instance;
   std::uint64_t m_start_time_ms = 0;
   std::uint64_t m_sequence = 0;
--- a/tests/core/crashes_under_load_test.cpp
+++ b/tests/core/crashes_under_load_test.cpp
@@ -115,7 +115,7 @@
   std::size_t wrongly_refused() const { return m_wrongly_refused; }
 
 private:
-  /// Counts the crashes that begin to run crashing requests.
+  /// What was last seen of a target.
   struct target_state {
     std::uint64_t generation = 1;
     instant back_at{0};
@@ -148,7 +148,7 @@
     ++m_crashes;
     const std::vector<std::pair<instant, std::string>>& runs =
         m_fleet.target(name).crashing_runs;
-    // What began to run within the last steps was running at the crash.
+    // A crashing request ends its target within a step.
     std::set<std::string> causes;
     for (const std::pair<instant, std::string>& it : runs) {
       if (it.first >= m_fleet.time.now() - milliseconds(3)) {
