--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -50,18 +50,26 @@
     return;
   }
   job->cancelled_for = why;
-  if (job->current_node == m_members.self().info.node) {
-    m_local_target.cancel(job->current_attempt_id);
-  } else if (!job->current_node.empty()) {
+  cancel_running(*job);
+  const bool was_sent = job->attempts > 0;
+  finish(job,
+         refusal(why, was_sent ? verdict::may_have_run : verdict::not_run));
+}
+
+void dispatcher::cancel_running(dispatch_job& job) {
+  const std::vector<running_attempt> running = std::move(job.running);
+  job.running.clear();
+  for (const running_attempt& it : running) {
+    if (it.node == m_members.self().info.node) {
+      m_local_target.cancel(it.id);
+      continue;
+    }
     wire::cancelT cancel;
-    cancel.correlation = job->current_attempt_id;
+    cancel.correlation = it.id;
     wire::payloadUnion body;
     body.Set(std::move(cancel));
-    m_send(job->current_node, std::move(body));
+    m_send(it.node, std::move(body));
   }
-  const bool was_sent = job->attempts > 0;
-  finish(job,
-         refusal(why, was_sent ? verdict::may_have_run : verdict::not_run));
 }
 
 void dispatcher::tick() {
@@ -184,29 +192,54 @@
           std::make_unique<wire::target_noticeT>(*m->target_notice);
     }
   }
-  const outcome_handler handler = [this, job, node, nested_retries](outcome o) {
-    on_outcome(job, node, nested_retries, std::move(o));
+  const running_attempt attempt{node, 0, job->attempts};
+  const outcome_handler handler = [this, job, attempt,
+                                   nested_retries](outcome o) {
+    on_outcome(job, attempt, nested_retries, std::move(o));
   };
-  job->current_node = node;
-  if (node == m_members.self().info.node) {
-    job->current_attempt_id = 0;
-    const std::uint64_t ticket =
-        m_local_target.submit(std::move(call), job->deadline, handler);
-    if (!job->ended && job->current_node == node) {
-      job->current_attempt_id = ticket;
+  const silence_handler on_silent =
+      job->request.idempotent
+          ? silence_handler([this, job] { on_silent_attempt(job); })
+          : nullptr;
+  job->running.push_back(attempt);
+  const auto set_id = [&job, &attempt](std::uint64_t id) {
+    // The attempt may have ended already.
+    for (running_attempt& it : job->running) {
+      it.id = it.number == attempt.number ? id : it.id;
     }
+  };
+  if (node == m_members.self().info.node) {
+    set_id(m_local_target.submit(std::move(call), job->deadline, handler,
+                                 on_silent));
     return;
   }
-  call.correlation = m_calls.add(node, job->deadline, handler);
-  job->current_attempt_id = call.correlation;
+  call.correlation = m_calls.add(node, job->deadline, handler, on_silent);
+  set_id(call.correlation);
   wire::payloadUnion body;
   body.Set(std::move(call));
   m_send(node, std::move(body));
 }
 
+void dispatcher::on_silent_attempt(const std::shared_ptr<dispatch_job>& job) {
+  // No target has answered, so the first attempt may have run.
+  const bool second_attempt_runs = job->running.size() > 1;
+  if (job->ended || second_attempt_runs || candidates(*job).empty() ||
+      !has_room_for_retry(*job) || !spend_retry(job->request.service)) {
+    return;
+  }
+  job->may_have_run = true;
+  --job->request.retries;
+  ++job->retries_spent;
+  if (job->on_retry) {
+    job->on_retry(reason::target_silent);
+  }
+  attempt(job);
+}
+
 void dispatcher::on_outcome(const std::shared_ptr<dispatch_job>& job,
-                            const std::string& node,
+                            const running_attempt& attempt_ended,
                             std::uint32_t nested_retries, outcome o) {
+  const std::string& node = attempt_ended.node;
   record_target_health(node, o);
   if (m_on_run_lost && o.reported &&
       o.refusal_reason == reason::connection_lost) {
@@ -215,6 +248,12 @@
   if (job->ended) {
     return;
   }
+  job->running.erase(
+      std::remove_if(job->running.begin(), job->running.end(),
+                     [&attempt_ended](const running_attempt& it) {
+                       return it.number == attempt_ended.number;
+                     }),
+      job->running.end());
   const reason retry_reason = o.refusal_reason;
   if (may_redirect(*job, o)) {
     ++job->redirects;
@@ -233,6 +272,15 @@
   job->may_have_run |= o.execution == verdict::may_have_run;
   retry_budget_for(job->request.service)
       .on_result(info_of(o.refusal_reason).counts_as_overload, m_clock.now);
+  const bool answered =
+      o.refusal_reason == reason::none && !is_server_failure(o);
+  if (!job->running.empty() && !answered) {
+    // The other attempt may be answered yet.
+    if (o.refusal_reason == reason::none) {
+      job->fallback_answer = std::move(o);
+    }
+    return;
+  }
   if (!may_retry(*job, o)) {
     finish(job, std::move(o));
     return;
@@ -245,7 +293,6 @@
   if (job->on_retry) {
     job->on_retry(retry_reason);
   }
-  job->current_node.clear();
   m_delayed_retries.emplace(job->retry_at, job);
 }
 
@@ -305,25 +352,31 @@
   const bool other_target_may_accept =
       o.refusal_reason != reason::none &&
       info_of(o.refusal_reason).retry_on_other_target;
-  if ((!failed && !other_target_may_accept) || job.request.retries == 0) {
-    return false;
-  }
-  if (job.max_targets != 0 &&
-      (job.tried_nodes.size() - job.redirects >= job.max_targets ||
-       candidates(job).empty())) {
+  if (!failed && !other_target_may_accept) {
     return false;
   }
   const bool safe_to_repeat =
       o.execution == verdict::not_run || job.request.idempotent;
-  if (!safe_to_repeat) {
+  if (!safe_to_repeat || !has_room_for_retry(job)) {
     return false;
   }
   job.retry_at = m_clock.now + retry_delay(job.attempts, m_random);
-  if (job.retry_at >= job.deadline) {
+  return job.retry_at < job.deadline && spend_retry(job.request.service);
+}
+
+bool dispatcher::has_room_for_retry(const dispatch_job& job) const {
+  if (job.request.retries == 0) {
     return false;
   }
+  const bool every_target_may_be_tried_again = job.max_targets == 0;
+  return every_target_may_be_tried_again ||
+         (job.tried_nodes.size() - job.redirects < job.max_targets &&
+          !candidates(job).empty());
+}
+
+bool dispatcher::spend_retry(const std::string& service) {
   return m_options.plain_forwarding ||
-         retry_budget_for(job.request.service).spend(m_clock.now);
+         retry_budget_for(service).spend(m_clock.now);
 }
 
 void dispatcher::finish(const std::shared_ptr<dispatch_job>& job, outcome o) {
@@ -331,6 +384,7 @@
     return;
   }
   job->ended = true;
+  cancel_running(*job);
   const bool attempt_cancelled = o.refusal_reason == reason::cancelled &&
                                  job->cancelled_for != reason::none;
   if (attempt_cancelled) {
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -16,9 +16,18 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace kingcupslip {
 
+/// An attempt of a request that has no outcome yet.
+struct running_attempt {
+  std::string node;
+  /// A ticket of the local target, or else the correlation of the call.
+  std::uint64_t id = 0;
+  std::uint32_t number = 0; ///< among the attempts of the request
+};
+
 /// A request with the state of its attempts. Shared by the dispatcher and by
 /// those who may cancel it.
 struct dispatch_job {
@@ -47,10 +56,9 @@
   bool may_have_run = false; ///< the result of an attempt is unknown
   bool ended = false;
   reason cancelled_for = reason::none; ///< set if the job was cancelled
-  /// The node and the id of the current attempt, for cancellation: a ticket of
-  /// the local target, or else the correlation of the call.
-  std::string current_node;
-  std::uint64_t current_attempt_id = 0;
+  /// The attempts that have no outcome yet: one, and another one beside it if
+  /// its target does not work on it.
+  std::vector<running_attempt> running;
 };
 
 /// Sends each request to a target and retries it on others, within the retries
@@ -110,9 +118,16 @@
   void attempt(const std::shared_ptr<dispatch_job>& job);
   void send(const std::shared_ptr<dispatch_job>& job, const std::string& node);
   void on_outcome(const std::shared_ptr<dispatch_job>& job,
-                  const std::string& node, std::uint32_t nested_retries,
+                  const running_attempt& attempt, std::uint32_t nested_retries,
                   outcome o);
+  /// Starts another attempt beside one whose target does not work on it.
+  void on_silent_attempt(const std::shared_ptr<dispatch_job>& job);
+  void cancel_running(dispatch_job& job);
   bool may_retry(dispatch_job& job, const outcome& o);
+  /// Whether the limits of the request and its targets leave room for another
+  /// attempt.
+  bool has_room_for_retry(const dispatch_job& job) const;
+  bool spend_retry(const std::string& service);
   /// Whether the request may go to another target at once, as the node beside
   /// its target refused it for the target's rate limit, or because it has no
   /// routes yet. This is no retry: no target has got the request.
--- a/src/kingcupslip/core/incoming_calls.cpp
+++ b/src/kingcupslip/core/incoming_calls.cpp
@@ -18,11 +18,13 @@
   }
   const instant deadline = m_clock.now + duration(call.time_left_us);
   m_unanswered_calls.emplace(id, nullptr);
-  const cancel_function stop =
-      m_start(std::move(call), deadline, [this, id](outcome o) {
+  const cancel_function stop = m_start(
+      std::move(call), deadline,
+      [this, id](outcome o) {
         m_unanswered_calls.erase(id);
         reply(id, std::move(o));
-      });
+      },
+      [this, id] { report_silence(id); });
   const auto it = m_unanswered_calls.find(id);
   if (it != m_unanswered_calls.end()) {
     it->second = stop;
@@ -39,6 +41,14 @@
   }
 }
 
+void incoming_calls::report_silence(const call_id& id) {
+  wire::run_silentT m;
+  m.correlation = id.second;
+  wire::payloadUnion body;
+  body.Set(std::move(m));
+  m_send(id.first, std::move(body));
+}
+
 void incoming_calls::reply(const call_id& id, outcome o) {
   wire::replyT reply = to_reply(id.second, std::move(o));
   reply.limit = static_cast<float>(m_local_target.capacity());
--- a/src/kingcupslip/core/incoming_calls.hpp
+++ b/src/kingcupslip/core/incoming_calls.hpp
@@ -21,8 +21,10 @@
   /// Cancels a call that is in progress; may be null.
   using cancel_function = std::function<void()>;
   /// Starts a call. `handler` may be called before this function returns.
+  /// `on_silent` tells the sender that the target does not work on the run.
   using start_function = std::function<cancel_function(
-      wire::callT call, instant deadline, outcome_handler handler)>;
+      wire::callT call, instant deadline, outcome_handler handler,
+      silence_handler on_silent)>;
 
   incoming_calls(start_function start, const target_stage& local_target,
                  message_sender send, const clock_reading& clock);
@@ -37,6 +39,7 @@
   using call_id = std::pair<std::string, std::uint64_t>;
 
   void reply(const call_id& id, outcome o);
+  void report_silence(const call_id& id);
 
   start_function m_start;
   const target_stage& m_local_target;
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -87,7 +87,7 @@
           m_clock),
       m_incoming_calls(
           [this](wire::callT call, instant deadline,
-                 const outcome_handler& handler) {
+                 const outcome_handler& handler, const silence_handler&) {
             return start_call(std::move(call), deadline, handler);
           },
           m_local_target, m_hooks.send, m_clock) {}
@@ -169,6 +169,7 @@
   case wire::payload::desired_state:
   case wire::payload::quota_ask:
   case wire::payload::quota_grant:
+  case wire::payload::run_silent:
   case wire::payload::NONE:
     break;
   }
--- a/src/kingcupslip/core/pending_calls.cpp
+++ b/src/kingcupslip/core/pending_calls.cpp
@@ -22,12 +22,27 @@
     : m_last_correlation(correlation_prefix << counter_bits) {}
 
 std::uint64_t pending_calls::add(const std::string& node, instant deadline,
-                                 outcome_handler handler) {
+                                 outcome_handler handler,
+                                 std::function<void()> on_silent) {
   const std::uint64_t correlation = ++m_last_correlation;
-  m_calls.emplace(correlation, pending{node, deadline, std::move(handler)});
+  m_calls.emplace(correlation, pending{node, deadline, std::move(handler),
+                                       std::move(on_silent)});
   return correlation;
 }
 
+void pending_calls::on_run_silent(const std::string& node,
+                                  std::uint64_t correlation) {
+  const auto it = m_calls.find(correlation);
+  if (it == m_calls.end() || it->second.node != node) {
+    return;
+  }
+  const std::function<void()> on_silent =
+      std::exchange(it->second.on_silent, nullptr);
+  if (on_silent) {
+    on_silent();
+  }
+}
+
 bool pending_calls::on_reply(const std::string& node, wire::replyT& reply) {
   const auto it = m_calls.find(reply.correlation);
   if (it == m_calls.end() || it->second.node != node) {
--- a/src/kingcupslip/core/pending_calls.hpp
+++ b/src/kingcupslip/core/pending_calls.hpp
@@ -28,8 +28,14 @@
 
   /// Registers a call and returns its correlation. `handler` is called
   /// exactly once, with the reply or with a refusal.
+  /// `on_silent`, which may be null, is called at most once, before that, if
+  /// the node reports that its target does not work on the run.
   std::uint64_t add(const std::string& node, instant deadline,
-                    outcome_handler handler);
+                    outcome_handler handler,
+                    std::function<void()> on_silent = nullptr);
+
+  /// The node reports that its target does not work on the run of a call.
+  void on_run_silent(const std::string& node, std::uint64_t correlation);
 
   /// Completes the call that `reply` answers, moving out its body. Returns
   /// false and does nothing if no call to `node` awaits this reply.
@@ -55,6 +61,7 @@
     std::string node;
     instant deadline{0};
     outcome_handler handler;
+    std::function<void()> on_silent;
   };
   void complete(std::uint64_t correlation, const outcome& result);
   template <class Predicate>
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -74,12 +74,14 @@
                                          m_hooks.log},
               m_clock),
       m_incoming_calls(
-          [this](wire::callT call, instant deadline, outcome_handler handler) {
+          [this](wire::callT call, instant deadline, outcome_handler handler,
+                 silence_handler on_silent) {
             if (call.known_notice) {
               m_local_target.on_reported_notice(*call.known_notice);
             }
-            const std::uint64_t ticket = m_local_target.submit(
-                std::move(call), deadline, std::move(handler));
+            const std::uint64_t ticket =
+                m_local_target.submit(std::move(call), deadline,
+                                      std::move(handler), std::move(on_silent));
             return [this, ticket] { m_local_target.cancel(ticket); };
           },
           m_local_target, m_hooks.send, m_clock) {
@@ -141,6 +143,9 @@
   case wire::payload::cancel:
     m_incoming_calls.on_cancel(from, *body.Ascancel());
     break;
+  case wire::payload::run_silent:
+    m_calls.on_run_silent(from, body.Asrun_silent()->correlation);
+    break;
   case wire::payload::gossip:
     if (body.Asgossip()->known_notice) {
       m_local_target.on_reported_notice(*body.Asgossip()->known_notice);
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -82,7 +82,8 @@
 }
 
 std::uint64_t target_stage::submit(wire::callT request, instant deadline,
-                                   outcome_handler handler) {
+                                   outcome_handler handler,
+                                   silence_handler on_silent) {
   const std::uint64_t ticket = ++m_last_id;
   if (const std::optional<reason> refused_for =
           check_admission(request, deadline)) {
@@ -102,7 +103,8 @@
   const std::size_t body_bytes = request.body.size();
   m_body_bytes += body_bytes;
   m_queued_calls.emplace(ticket, queued_call{std::move(request), deadline,
-                                             std::move(handler), body_bytes});
+                                             std::move(handler),
+                                             std::move(on_silent), body_bytes});
   std::vector<shed_request> to_shed;
   m_queue.offer(std::move(w), queue_capacity(), to_shed);
   shed(to_shed);
@@ -289,6 +291,8 @@
 }
 
 void target_stage::find_silent_runs() {
+  // They start attempts elsewhere, and may end runs here.
+  std::vector<silence_handler> handlers;
   for (std::pair<const std::uint64_t, run>& it : m_runs) {
     run& r = it.second;
     const bool newly_silent =
@@ -307,6 +311,12 @@
          {"instance", m_instance},
          {"ran_us", std::to_string((m_clock.now - r.started_at).count())},
          {"in_flight", std::to_string(m_runs.size())}});
+    if (r.on_silent) {
+      handlers.push_back(std::move(r.on_silent));
+    }
+  }
+  for (const silence_handler& it : handlers) {
+    it();
   }
 }
 
@@ -534,6 +544,7 @@
   r.kind = call.request.host + first_segment(call.request.path);
   r.body_bytes = call.body_bytes;
   r.handler = std::move(call.handler);
+  r.on_silent = std::move(call.on_silent);
   if (m_quarantine.must_run_alone(r.digest, m_clock.now)) {
     m_suspect_run = id;
   }
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -120,6 +120,9 @@
   event_sink log;
 };
 
+/// Told that a target does not work on a run.
+using silence_handler = std::function<void()>;
+
 /// Settings of the target stage.
 struct target_options {
   std::string service;
@@ -149,9 +152,12 @@
                const clock_reading& clock, quarantine& crash_quarantine);
 
   /// Starts, queues or refuses a request. `handler` is called exactly once,
-  /// possibly before this function returns. Returns a ticket for `cancel`.
+  /// possibly before this function returns. `on_silent`, which may be null, is
+  /// called at most once, before that, if the target does not work on the run.
+  /// Returns a ticket for `cancel`.
   std::uint64_t submit(wire::callT request, instant deadline,
-                       outcome_handler handler);
+                       outcome_handler handler,
+                       silence_handler on_silent = nullptr);
   /// Cancels a queued or running request; ignored once it has ended.
   void cancel(std::uint64_t ticket);
 
@@ -225,6 +231,7 @@
     wire::callT request;
     instant deadline{0};
     outcome_handler handler;
+    silence_handler on_silent;
     std::size_t body_bytes = 0;
   };
   /// A request in progress at the target.
@@ -246,6 +253,7 @@
     bool outlived = false; ///< another instance runs at the address now
     std::size_t body_bytes = 0;
     outcome_handler handler;
+    silence_handler on_silent;
   };
 
   std::optional<reason> check_admission(const wire::callT& request,
--- a/tests/core/silence_test.cpp
+++ b/tests/core/silence_test.cpp
@@ -89,6 +89,37 @@
   CHECK(load.ran * 1000 >= load.sent * 985);
 }
 
+// Guards against an end of the first attempt when the second one starts: its
+// target may be at work, and its answer is the caller's if it comes first.
+TEST(silence, the_first_of_two_attempts_is_not_ended_by_the_second) {
+  routed_fleet fleet(4);
+  build_routed_fleet(fleet, 1);
+  const auto answer_after = [&fleet](const std::string& node, milliseconds d) {
+    fleet.target(node).request_handler =
+        [&fleet, d](const target_request& r,
+                    const std::function<void(std::uint16_t)>& done) {
+          r.body.empty() ? done(200)
+                         : fleet.time.run_after(d, [done] { done(200); });
+        };
+  };
+  answer_after("a1", milliseconds(700));
+  answer_after("b1", milliseconds(5000));
+  routed_load load(fleet, {"a1"}, "/safe/x", 100, seconds(4));
+  fleet.run_for(seconds(2));
+  std::size_t answers = 0;
+  fleet.request(
+      "a1", "/safe/x", "k",
+      [&answers](const outcome& o) {
+        ++answers;
+        CHECK(o.execution == verdict::ran);
+      },
+      milliseconds(3000), "held");
+  fleet.run_for(seconds(4));
+  LONGS_EQUAL(1, answers);
+  LONGS_EQUAL(0, fleet.target("a1").cancel_count);
+  LONGS_EQUAL(1, fleet.target("b1").cancel_count);
+}
+
 // The same for requests that may run once: they are not sent again, and end as
 // such that may have run.
 TEST(silence, dropped_requests_that_may_run_once_are_not_sent_again) {
