HTTP server: idempotent requests of a connection are handled side by side

Change: the server reads on while requests are handled, up to a bound for each connection and for the node, and answers in order; a request that may run once runs alone; a stop answers what was passed on and nothing behind it. Off unless max_pipelined is set. The harness of the server's tests moves to support/.

--- a/src/kingcupslip/core/entry_stage.hpp
+++ b/src/kingcupslip/core/entry_stage.hpp
@@ -29,6 +29,9 @@
   std::string request_target; ///< path and query as received
   std::vector<header> headers;
   body_bytes body;
+  /// Between its arrival and this call, for the answers to earlier requests of
+  /// its connection.
+  std::chrono::milliseconds waited{0};
   /// Id of the caller's connection, for `on_caller_disconnected`; 0: unknown.
   std::uint64_t connection = 0;
 };
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -77,7 +77,7 @@
   e->deadline = std::min(m_clock.now + left, m_answer_by);
   m_counts.on_asked({e->team, e->route_name});
   if (e->request.connection != 0) {
-    m_by_connection[e->request.connection] = e;
+    m_by_connection.emplace(e->request.connection, e);
   }
   e->digest = digest_of(e->request, e->team);
   if (m_dependencies.crash_quarantine.is_quarantined(e->digest, m_clock.now)) {
@@ -152,19 +152,18 @@
 }
 
 void routed_entry::on_caller_disconnected(std::uint64_t connection) {
-  const auto it = m_by_connection.find(connection);
-  if (it == m_by_connection.end()) {
-    return;
-  }
-  const active_request_ptr e = it->second.lock();
-  m_by_connection.erase(it);
-  if (!e) {
-    return;
+  const auto range = m_by_connection.equal_range(connection);
+  std::vector<active_request_ptr> requests;
+  for (auto it = range.first; it != range.second; ++it) {
+    requests.push_back(it->second);
   }
-  e->caller_disconnected = true;
-  // Copied because finishing the request resets its job.
-  if (const std::shared_ptr<dispatch_job> job = e->job) {
-    m_dependencies.dispatch.cancel(job);
+  m_by_connection.erase(range.first, range.second);
+  for (const active_request_ptr& it : requests) {
+    it->caller_disconnected = true;
+    // Copied because finishing the request resets its job.
+    if (const std::shared_ptr<dispatch_job> job = it->job) {
+      m_dependencies.dispatch.cancel(job);
+    }
   }
 }
 
@@ -194,8 +193,12 @@
   if (m_active.erase(e) == 0) {
     return;
   }
-  if (e->request.connection != 0) {
-    m_by_connection.erase(e->request.connection);
+  const auto of_connection = m_by_connection.equal_range(e->request.connection);
+  for (auto it = of_connection.first; it != of_connection.second; ++it) {
+    if (it->second == e) {
+      m_by_connection.erase(it);
+      break;
+    }
   }
   if (e->took_quota_token && o.execution == verdict::not_run) {
     m_dependencies.quota.return_token(e->team, m_clock.now);
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -55,7 +55,7 @@
   /// Handles a request. `handler` is called exactly once.
   void on_request(routed_request request, outcome_handler handler);
 
-  /// Cancels the request in progress of a connection that was closed.
+  /// Cancels the requests in progress of a connection that was closed.
   void on_caller_disconnected(std::uint64_t connection);
 
   void tick() { m_rate_limiter.tick(); }
@@ -109,8 +109,8 @@
   request_counters m_counts;
   /// Credit of each service for smooth weighted round robin, by route.
   std::map<std::string, std::map<std::string, double>> m_round_robin_credit;
-  std::unordered_map<std::uint64_t, std::weak_ptr<active_request>>
-      m_by_connection;
+  /// A pipelined connection has several.
+  std::unordered_multimap<std::uint64_t, active_request_ptr> m_by_connection;
   std::unordered_set<active_request_ptr> m_active;
   instant m_answer_by = instant::max();
   bool m_refusing_new = false;
--- a/src/kingcupslip/net/http_server.hpp
+++ b/src/kingcupslip/net/http_server.hpp
@@ -40,6 +40,12 @@
   /// left to requests of up to `large_request_bytes`.
   std::size_t max_request_bytes = 32UL * 1024 * 1024;
   std::size_t large_request_bytes = 64UL * 1024;
+  /// Requests of one connection that are handled at a time, if `may_overlap`
+  /// allows it; 1: each is read after the answer to the one before.
+  std::size_t max_pipelined = 1;
+  /// Requests that are handled beside an earlier one of their connection, over
+  /// all connections.
+  std::size_t max_overlapping = 1024;
 };
 
 /// Sends the response to one request. Must be called exactly once, on the
@@ -49,23 +55,30 @@
 /// Called when a connection closes while its request is being handled.
 using disconnect_handler = std::function<void(std::uint64_t connection)>;
 
+/// Whether a request may be handled beside others of its connection: it may run
+/// more than once, so that its caller sends it again if the connection ends.
+using overlap_check = std::function<bool(const caller_request&)>;
+
 /// Converts an outcome to the response that the caller gets.
 using response_encoder = std::function<outcome(outcome)>;
 
 class http_session;
 
-/// Callbacks of a server. `on_disconnect` and `log` may be null. A null
-/// `encode` stands for `to_http`, which encodes refusals as problem documents.
+/// Callbacks of a server. `on_disconnect`, `log` and `may_overlap` may be null.
+/// A null `encode` stands for `to_http`, which encodes refusals as problem
+/// documents.
 struct server_hooks {
   request_handler on_request;
   disconnect_handler on_disconnect;
   response_encoder encode;
   event_sink log = nullptr;
+  overlap_check may_overlap = nullptr;
 };
 
-/// Accepts connections, reads requests and sends their responses. Runs on
-/// the loop. A request that cannot be read is refused, with the refusal
-/// encoded as any other, and its connection is closed.
+/// Accepts connections, reads requests and sends their responses, in the order
+/// of the requests on a connection. Runs on the loop. A request that cannot be
+/// read is refused, with the refusal encoded as any other, and its connection
+/// is closed.
 class http_server {
 public:
   /// Throws `boost::system::system_error` if it cannot listen on the address.
@@ -83,8 +96,8 @@
     return m_state->unanswered_requests;
   }
 
-  /// Each connection closes after its next response. New connections are
-  /// still accepted.
+  /// Each connection closes after the responses to the requests that have been
+  /// passed on. New connections are still accepted.
   void disable_keep_alive() { m_state->keep_alive_disabled = true; }
 
   /// Stops listening. Open connections close after their next response. Those
@@ -98,13 +111,15 @@
     std::size_t open_connections = 0;
     std::size_t unanswered_requests = 0;
     std::size_t answer_bytes = 0; ///< of `answering`
+    std::size_t overlapping = 0;  ///< see `server_limits::max_overlapping`
     /// Of requests that are being read or handled.
     std::size_t request_bytes = 0;
     /// Sessions that are reading a request.
     std::list<http_session*> reading;
     /// Sessions without a request, the one that has been idle longest first.
     std::list<http_session*> idle;
-    /// Sessions that write an answer, the oldest answer first.
+    /// Sessions that hold answers, the one that began to hold some first in
+    /// front.
     std::list<http_session*> answering;
     bool keep_alive_disabled = false;
     bool accepting = true;
--- a/tests/net/http_server_test.cpp
+++ b/tests/net/http_server_test.cpp
@@ -1,8 +1,7 @@
 // Tests that a caller's request on a kept connection gets its answer, and that
 // a caller that has gone is noticed.
-#include "kingcupslip/net/http_server.hpp"
-
 #include "support/heap_bytes.hpp"
+#include "support/http_caller.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -20,14 +19,9 @@
 
 namespace {
 
-namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
-using error_code = boost::system::error_code;
-
 /// A limit of the server that passes while the loop is held up.
 constexpr milliseconds short_limit{50};
 constexpr milliseconds held_up{200};
-constexpr milliseconds patience_of_test{5000};
 /// A client's disconnect must have taken effect by then.
 constexpr milliseconds notice_limit{500};
 
@@ -36,121 +30,6 @@
 
 const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
-/// A server whose requests are answered at once, or held.
-struct served {
-  explicit served(server_limits l) : limits(l) {}
-
-  io_loop loop;
-  server_limits limits;
-  bool answers_at_once = true;
-  std::size_t answer_bytes = 2;
-  std::vector<response_sender> held;
-  std::size_t requests = 0;
-  std::size_t disconnects = 0;
-  std::vector<std::string> causes;
-  http_server server{loop,
-                     "127.0.0.1",
-                     0,
-                     limits,
-                     {[this](const caller_request&, const response_sender& s) {
-                        ++requests;
-                        answers_at_once ? answer(s) : held.push_back(s);
-                      },
-                      [this](std::uint64_t) { ++disconnects; }, nullptr,
-                      [this](event_id, const event_fields& f) {
-                        causes.push_back(f.front().second);
-                      }}};
-
-  void answer(const response_sender& send) const {
-    outcome o;
-    o.execution = verdict::ran;
-    o.status = 200;
-    o.body.assign(answer_bytes, 'a');
-    send(std::move(o));
-  }
-  /// Returns the number of handlers that ran.
-  std::size_t run_for(milliseconds span) {
-    loop.restart();
-    return loop.run_for(span);
-  }
-  template <class Condition>
-  bool run_until(milliseconds span, Condition condition) {
-    const instant end = read_clocks().now + span;
-    while (!condition() && read_clocks().now < end) {
-      run_for(milliseconds(5));
-    }
-    return condition();
-  }
-};
-
-struct raw_caller {
-  explicit raw_caller(served& s, int receive_buffer_bytes = 0)
-      : m_served(s), m_socket(m_own_loop) {
-    m_socket.open(tcp::v4());
-    if (receive_buffer_bytes > 0) {
-      m_socket.set_option(
-          asio::socket_base::receive_buffer_size(receive_buffer_bytes));
-    }
-    m_socket.connect({asio::ip::address_v4::loopback(), s.server.port()});
-    m_socket.non_blocking(true);
-  }
-
-  /// Sends what the buffers take; the rest is sent as the server reads.
-  void send(const std::string& text) {
-    m_unsent += text;
-    send_some();
-  }
-  void send_some() {
-    while (!m_unsent.empty() && !send_failed) {
-      error_code ec;
-      const std::size_t n = m_socket.write_some(asio::buffer(m_unsent), ec);
-      m_unsent.erase(0, n);
-      if (ec == asio::error::would_block) {
-        return;
-      }
-      send_failed = static_cast<bool>(ec);
-    }
-  }
-  bool all_sent() const { return m_unsent.empty(); }
-  /// Reads while the server runs, until `end` has been received at the end, or
-  /// the connection has ended.
-  std::string read_until(const std::string& end) {
-    std::string received;
-    m_served.run_until(patience_of_test, [this, &received, &end] {
-      send_some();
-      std::string block(64UL * 1024, ' ');
-      error_code ec;
-      while (!ec) {
-        const std::size_t n = m_socket.read_some(asio::buffer(block), ec);
-        received.append(block, 0, n);
-      }
-      ended = ec != asio::error::would_block;
-      reset = ended && ec != asio::error::eof;
-      return ended || (received.size() >= end.size() &&
-                       received.substr(received.size() - end.size()) == end);
-    });
-    return received;
-  }
-  /// Reads what has arrived, at most `max_bytes`.
-  std::size_t read_some(std::size_t max_bytes) {
-    std::string block(max_bytes, ' ');
-    error_code ignored;
-    return m_socket.read_some(asio::buffer(block), ignored);
-  }
-  std::string read_answer() { return read_until("\r\n\r\naa"); }
-  void close() { m_socket.close(); }
-
-  bool send_failed = false;
-  bool ended = false;
-  bool reset = false;
-
-private:
-  served& m_served;
-  io_loop m_own_loop;
-  tcp::socket m_socket;
-  std::string m_unsent;
-};
-
 const std::string ok_status = "HTTP/1.1 200 OK";
 
 std::string status_line(const std::string& received) {
