Locality: which part of a service's load leaves the data centre

Cause: a request left only if its local target was 1.5 times full, so that callers waited while other data centres had room.

--- a/src/kingcupslip/core/balancer.cpp
+++ b/src/kingcupslip/core/balancer.cpp
@@ -54,6 +54,20 @@
   return load * static_cast<double>(1U << n);
 }
 
+const target_candidate*
+choose_in_data_centre(const std::vector<target_candidate>& targets,
+                      const std::string& data_centre,
+                      const std::function<std::uint64_t()>& random) {
+  candidate_list there;
+  for (const target_candidate& it : targets) {
+    if (it.data_centre != nullptr && *it.data_centre == data_centre) {
+      there.push_back(&it);
+    }
+  }
+  const target_candidate* chosen = pick_better_of_two(there, random);
+  return chosen != nullptr && relative_load(*chosen) <= 1 ? chosen : nullptr;
+}
+
 const target_candidate*
 choose_target(const std::vector<target_candidate>& targets, bool allow_overflow,
               const std::function<std::uint64_t()>& random) {
--- a/src/kingcupslip/core/balancer.hpp
+++ b/src/kingcupslip/core/balancer.hpp
@@ -16,6 +16,7 @@
 struct target_candidate {
   std::string node;
   bool same_data_centre = true;
+  const std::string* data_centre = nullptr; ///< its name; null: not known
   /// Requests from this node that await its answer; always exact.
   std::size_t own_in_flight = 0;
   /// Concurrency limit, and requests in flight or queued, as last reported in
@@ -39,6 +40,13 @@
 choose_target(const std::vector<target_candidate>& targets, bool allow_overflow,
               const std::function<std::uint64_t()>& random);
 
+/// Chooses in the same way among the targets of one data centre. Returns null
+/// if there is none, or none that is not full.
+const target_candidate*
+choose_in_data_centre(const std::vector<target_candidate>& targets,
+                      const std::string& data_centre,
+                      const std::function<std::uint64_t()>& random);
+
 } // namespace kingcupslip
 
 #endif
--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -66,6 +66,16 @@
       {event_id::run_silent, "run_silent", event_level::warning},
       {event_id::caller_memory_full, "caller_memory_full",
        event_level::warning},
+      {event_id::rollout_ordered, "rollout_ordered", event_level::info},
+      {event_id::rollout_started, "rollout_started", event_level::info},
+      {event_id::rollout_switching, "rollout_switching", event_level::info},
+      {event_id::rollout_halted, "rollout_halted", event_level::warning},
+      {event_id::rollout_completed, "rollout_completed", event_level::info},
+      {event_id::rollout_rolled_back, "rollout_rolled_back",
+       event_level::warning},
+      {event_id::rollout_rejected, "rollout_rejected", event_level::warning},
+      {event_id::rollout_unreadable, "rollout_unreadable", event_level::error},
+      {event_id::load_leaves, "load_leaves", event_level::info},
   };
   return events;
 }
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -66,7 +66,16 @@
   answer_skipped = 706,
   answer_incomplete = 707,
   run_silent = 708,
-  caller_memory_full = 709
+  caller_memory_full = 709,
+  rollout_ordered = 800,
+  rollout_started = 801,
+  rollout_switching = 802,
+  rollout_halted = 803,
+  rollout_completed = 804,
+  rollout_rolled_back = 805,
+  rollout_rejected = 806,
+  rollout_unreadable = 807,
+  load_leaves = 900
 };
 
 struct event_info {
