Roll-outs: a service's traffic moves to a new version, or back

Change: rollout_evaluator judges the new version's answers against the current version's over the same time, rollout_exposure bounds what the new version gets, rollout_decider decides at one node and keeps the state in the table, rollouts connects them with dispatcher, target stage and gossip; platform/ translates orders and statuses. Off unless rollout_share is set. The dispatcher also takes the parts of locality, and replies say how long a call was held.

--- a/src/kingcupslip/core/desired_state.cpp
+++ b/src/kingcupslip/core/desired_state.cpp
@@ -115,10 +115,16 @@
   apply([this, &items, at, complete] {
     bool changed = false;
     out_marks::mark_versions all_marks;
+    std::map<std::string, rollout_order> orders_before;
+    if (complete) {
+      orders_before.swap(m_rollout_orders);
+    }
     for (const desired_state_item& it : items) {
       if (it.item_kind == desired_state_item::kind::routes) {
         changed |=
             !it.removed && apply_routes({at.timeline, it.version}, it.text);
+      } else if (it.item_kind == desired_state_item::kind::rollout) {
+        changed |= apply_rollout_order(it, at);
       } else if (complete) {
         all_marks[it.name] = it.version;
       } else {
@@ -127,11 +133,27 @@
     }
     if (complete) {
       m_marks.apply_all(at, std::move(all_marks), m_clock.now);
+      changed |= orders_before.size() != m_rollout_orders.size();
     }
     return changed;
   });
 }
 
+bool desired_state::apply_rollout_order(const desired_state_item& item,
+                                        store_position at) {
+  if (item.removed) {
+    return m_rollout_orders.erase(item.name) > 0;
+  }
+  if (item.text.empty()) {
+    m_log(event_id::rollout_unreadable,
+          {{"service", item.name}, {"version", std::to_string(item.version)}});
+    return false;
+  }
+  m_rollout_orders[item.name] = {
+      item.name, item.text, item.time_limit, {at.timeline, item.version}};
+  return true;
+}
+
 void desired_state::apply(const std::function<bool()>& change) {
   const std::set<std::string> out_before = m_marks.out();
   bool changed = change();
--- a/src/kingcupslip/core/desired_state.hpp
+++ b/src/kingcupslip/core/desired_state.hpp
@@ -6,6 +6,7 @@
 #include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/message_sender.hpp"
 #include "kingcupslip/core/out_marks.hpp"
+#include "kingcupslip/core/rollout.hpp"
 #include "kingcupslip/core/route_table.hpp"
 #include "kingcupslip/core/store_position.hpp"
 #include "kingcupslip/core/time.hpp"
@@ -13,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -21,15 +23,22 @@
 
 namespace kingcupslip {
 
-/// One entry that operators keep in the store: the document of routes, or a
-/// mark that takes a data centre out of service.
+/// One entry that operators keep in the store: the document of routes, a mark
+/// that takes a data centre out of service, or the order of a roll-out.
 struct desired_state_item {
-  enum class kind : std::uint8_t { routes, data_centre_out_of_service };
+  enum class kind : std::uint8_t {
+    routes,
+    data_centre_out_of_service,
+    rollout
+  };
   kind item_kind = kind::routes;
-  std::string name; ///< of the data centre; empty for routes
-  std::string text; ///< the document of routes, as written
+  std::string name; ///< of the data centre or service; empty for routes
+  /// The document of routes, as written; the version that a roll-out moves to,
+  /// empty if the order cannot be read.
+  std::string text;
   std::uint64_t version = 0;
   bool removed = false;
+  std::chrono::milliseconds time_limit{0}; ///< of a roll-out
 };
 
 /// Result of a read of the store or of a wait for changes.
@@ -93,6 +102,10 @@
   bool data_centre_out_of_service(const std::string& name) const {
     return m_marks.out().count(name) != 0;
   }
+  /// By service.
+  const std::map<std::string, rollout_order>& rollout_orders() const {
+    return m_rollout_orders;
+  }
   std::uint64_t routes_version() const { return m_routes_position.version; }
   /// 0 without routes, or if the operators do not number them.
   std::uint64_t routes_revision() const { return current_routes().revision; }
@@ -121,6 +134,8 @@
   void apply_items(std::vector<desired_state_item> items, store_position at,
                    bool complete);
   void on_unavailable();
+  /// Returns whether the orders have changed.
+  bool apply_rollout_order(const desired_state_item& item, store_position at);
   /// Returns whether the document is now in force and was not before.
   bool apply_routes(store_position at, const std::string& text);
   routes_order current_routes() const;
@@ -138,6 +153,7 @@
   std::string m_routes_document;
   store_position m_routes_position;
   out_marks m_marks;
+  std::map<std::string, rollout_order> m_rollout_orders;
   store_position m_cursor; ///< up to which the store has been read
   instant m_confirmed_at{0};
   instant m_next_request_at{0};
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -34,14 +34,20 @@
                        member_table& members,
                        out_of_service_check is_out_of_service,
                        pending_calls& calls, target_stage& local_target,
-                       message_sender send, member_table::random_source random)
+                       message_sender send, member_table::random_source random,
+                       event_sink log)
     : m_options(o), m_clock(clock), m_members(members),
       m_is_out_of_service(std::move(is_out_of_service)), m_calls(calls),
       m_local_target(local_target), m_send(std::move(send)),
-      m_random(std::move(random)) {}
+      m_random(std::move(random)),
+      m_locality(o.locality_options, std::move(log)) {}
 
 void dispatcher::dispatch(const std::shared_ptr<dispatch_job>& job) {
   retry_budget_for(job->request.service).on_first_attempt();
+  if (m_versions.choose_order) {
+    job->request.rollout_order =
+        m_versions.choose_order(job->request.service, true);
+  }
   attempt(job);
 }
 
@@ -76,6 +82,11 @@
   if (!m_started_at) {
     m_started_at = m_clock.now;
   }
+  if (m_locality.enabled() &&
+      m_clock.now - m_locality_updated_at >= locality_update_period) {
+    m_locality_updated_at = m_clock.now;
+    update_locality();
+  }
   while (!m_delayed_retries.empty() &&
          m_delayed_retries.begin()->first <= m_clock.now) {
     const std::shared_ptr<dispatch_job> job = m_delayed_retries.begin()->second;
@@ -110,9 +121,71 @@
     m->info.limit = reply.limit;
     m->info.in_flight = reply.in_flight + reply.queued;
     m->load_reported_at = m_clock.now;
+    m->last_held = duration(reply.held_us);
+  }
+}
+
+bool dispatcher::is_in_service(const member& m) const {
+  return m.info.ready && m.usable() && m_clock.now >= m.excluded_until &&
+         !m_is_out_of_service(m.info);
+}
+
+void dispatcher::update_locality() {
+  const std::string& here = m_members.self().info.data_centre;
+  std::map<std::string, std::map<std::string, data_centre_load>> by_service;
+  for (const std::pair<const std::string, member>& it : m_members.all()) {
+    const member& m = it.second;
+    if (m_run_times.count(m.info.service) == 0 || !is_in_service(m) ||
+        m.unresponsive) {
+      continue;
+    }
+    data_centre_load& load = by_service[m.info.service][m.info.data_centre];
+    load.name = m.info.data_centre;
+    const bool local = &m == &m_members.self();
+    const double limit =
+        local ? static_cast<double>(m_local_target.capacity()) : m.info.limit;
+    load.capacity += limit;
+    if (local) {
+      load.known_capacity += limit;
+      load.known_load += static_cast<double>(m_local_target.in_flight() +
+                                             m_local_target.queued());
+    } else if (m_clock.now - m.load_reported_at <= load_report_max_age) {
+      load.known_capacity += limit;
+      load.known_load += static_cast<double>(
+          std::max<std::size_t>(m.own_in_flight, m.info.in_flight));
+    }
+  }
+  for (std::pair<const std::string, std::map<std::string, data_centre_load>>&
+           it : by_service) {
+    std::vector<data_centre_load> loads;
+    for (std::pair<const std::string, data_centre_load>& l : it.second) {
+      const auto way = m_ways.find(l.first);
+      l.second.way = way == m_ways.end() ? duration(0) : way->second;
+      loads.push_back(std::move(l.second));
+    }
+    m_locality.update(it.first, here, loads, m_run_times.at(it.first),
+                      m_clock.now);
   }
 }
 
+void dispatcher::record_times(const running_attempt& attempt,
+                              const outcome& o) {
+  const member* m = m_members.find(attempt.node);
+  const bool answered = o.refusal_reason == reason::none && o.reported;
+  if (!m_locality.enabled() || m == nullptr || !answered) {
+    return;
+  }
+  const auto average = [](std::map<std::string, duration>& averages,
+                          const std::string& name, duration sample) {
+    const auto it = averages.try_emplace(name, sample).first;
+    it->second += (sample - it->second) / 16;
+  };
+  average(m_run_times, m->info.service, m->last_held);
+  average(
+      m_ways, m->info.data_centre,
+      std::max(m_clock.now - attempt.started_at - m->last_held, duration(0)));
+}
+
 std::vector<target_candidate>
 dispatcher::candidates(const dispatch_job& job) const {
   std::vector<target_candidate> out;
@@ -122,14 +195,15 @@
   for (const std::pair<const std::string, member>& it : m_members.all()) {
     const wire::memberT& m = it.second.info;
     const bool in_service =
-        m.service == job.request.service && m.ready && it.second.usable() &&
-        m_clock.now >= it.second.excluded_until && !m_is_out_of_service(m);
+        m.service == job.request.service && is_in_service(it.second) &&
+        (!m_versions.allows || m_versions.allows(m, job.request.rollout_order));
     if (!in_service || job.tried_nodes.count(m.node) != 0) {
       continue;
     }
     target_candidate v;
     v.node = m.node;
     v.same_data_centre = m.data_centre == here;
+    v.data_centre = &m.data_centre;
     v.own_in_flight = it.second.own_in_flight;
     v.failures = it.second.failures;
     const bool local = m.node == self;
@@ -156,17 +230,24 @@
     finish(job, refusal(reason::deadline));
     return;
   }
+  if (m_versions.choose_order && job->attempts > 0) {
+    job->request.rollout_order =
+        m_versions.choose_order(job->request.service, false);
+  }
   std::vector<target_candidate> targets = candidates(*job);
+  if (targets.empty() && job->request.rollout_order != 0) {
+    // The test targets are gone or full.
+    job->request.rollout_order =
+        m_versions.choose_order(job->request.service, false);
+    targets = candidates(*job);
+  }
   if (targets.empty() && !job->tried_nodes.empty() && job->max_targets == 0) {
     // Every target was tried once. Attempts are spaced by a backoff, so they
     // may be tried again.
     job->tried_nodes.clear();
     targets = candidates(*job);
   }
-  const bool allow_overflow =
-      job->deadline - m_clock.now > min_time_for_overflow;
-  const target_candidate* chosen =
-      choose_target(targets, allow_overflow, m_random);
+  const target_candidate* chosen = choose_candidate(*job, targets);
   if (chosen == nullptr) {
     finish(job, refusal(reason::no_target, verdict::not_run,
                         std::chrono::milliseconds(1000)));
@@ -175,6 +256,25 @@
   send(job, chosen->node);
 }
 
+const target_candidate*
+dispatcher::choose_candidate(const dispatch_job& job,
+                             const std::vector<target_candidate>& targets) {
+  const bool allow_overflow =
+      job.deadline - m_clock.now > min_time_for_overflow;
+  if (m_locality.enabled() && allow_overflow) {
+    const std::string* data_centre =
+        m_locality.choose(job.request.service, m_random);
+    const target_candidate* chosen =
+        data_centre == nullptr
+            ? nullptr
+            : choose_in_data_centre(targets, *data_centre, m_random);
+    if (chosen != nullptr) {
+      return chosen;
+    }
+  }
+  return choose_target(targets, allow_overflow, m_random);
+}
+
 void dispatcher::send(const std::shared_ptr<dispatch_job>& job,
                       const std::string& node) {
   ++job->attempts;
@@ -192,7 +292,7 @@
           std::make_unique<wire::target_noticeT>(*m->target_notice);
     }
   }
-  const running_attempt attempt{node, 0, job->attempts};
+  const running_attempt attempt{node, 0, job->attempts, m_clock.now};
   const outcome_handler handler = [this, job, attempt,
                                    nested_retries](outcome o) {
     on_outcome(job, attempt, nested_retries, std::move(o));
@@ -241,6 +341,7 @@
                             std::uint32_t nested_retries, outcome o) {
   const std::string& node = attempt_ended.node;
   record_target_health(node, o);
+  record_times(attempt_ended, o);
   if (m_on_run_lost && o.reported &&
       o.refusal_reason == reason::connection_lost) {
     m_on_run_lost(node, job->request.digest);
@@ -341,6 +442,7 @@
 bool dispatcher::may_redirect(const dispatch_job& job, const outcome& o) const {
   const bool target_did_not_get_it =
       o.refusal_reason == reason::target_rate_limited ||
+      o.refusal_reason == reason::version_not_released ||
       o.refusal_reason == reason::starting;
   return target_did_not_get_it && o.execution == verdict::not_run &&
          job.redirects < max_redirects && job.deadline > m_clock.now &&
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -3,6 +3,7 @@
 #define KINGCUPSLIP_CORE_DISPATCHER_HPP
 
 #include "kingcupslip/core/balancer.hpp"
+#include "kingcupslip/core/locality.hpp"
 #include "kingcupslip/core/member_table.hpp"
 #include "kingcupslip/core/message_sender.hpp"
 #include "kingcupslip/core/pending_calls.hpp"
@@ -26,6 +27,7 @@
   /// A ticket of the local target, or else the correlation of the call.
   std::uint64_t id = 0;
   std::uint32_t number = 0; ///< among the attempts of the request
+  instant started_at{0};
 };
 
 /// A request with the state of its attempts. Shared by the dispatcher and by
@@ -76,14 +78,26 @@
     /// Retries idempotent requests that the target answered with a server
     /// error.
     bool retry_failed_answers = false;
+    locality::options locality_options{};
   };
   /// Whether an operator has taken a member's target out of service.
   using out_of_service_check = std::function<bool(const wire::memberT&)>;
 
+  /// Chooses between the versions of a service's targets.
+  struct version_hooks {
+    /// Returns the order by which an attempt goes to a new version; 0: none.
+    std::function<std::uint64_t(const std::string& service, bool first_attempt)>
+        choose_order;
+    /// Whether a member's target may get an attempt of this order.
+    std::function<bool(const wire::memberT&, std::uint64_t order)> allows;
+  };
+
   dispatcher(options o, const clock_reading& clock, member_table& members,
              out_of_service_check is_out_of_service, pending_calls& calls,
              target_stage& local_target, message_sender send,
-             member_table::random_source random);
+             member_table::random_source random, event_sink log);
+
+  void set_version_hooks(version_hooks hooks) { m_versions = std::move(hooks); }
 
   /// Called with the node beside the target, and the request's digest, once
   /// that node has reported that the connection of a run broke.
@@ -105,6 +119,8 @@
   /// Whether a usable member runs this service.
   bool has_target_for(const std::string& service) const;
 
+  const locality& leaving() const { return m_locality; }
+
   /// Records what the reply of `node` reports about its target: the load, and
   /// what the target stated about itself.
   void on_target_report(const std::string& node, const wire::replyT& reply);
@@ -115,6 +131,13 @@
 
 private:
   std::vector<target_candidate> candidates(const dispatch_job& job) const;
+  const target_candidate*
+  choose_candidate(const dispatch_job& job,
+                   const std::vector<target_candidate>& targets);
+  /// Whether a member's target may get requests of its service at present.
+  bool is_in_service(const member& m) const;
+  void update_locality();
+  void record_times(const running_attempt& attempt, const outcome& o);
   void attempt(const std::shared_ptr<dispatch_job>& job);
   void send(const std::shared_ptr<dispatch_job>& job, const std::string& node);
   void on_outcome(const std::shared_ptr<dispatch_job>& job,
@@ -145,6 +168,13 @@
   message_sender m_send;
   member_table::random_source m_random;
   std::function<void(const std::string&, std::uint64_t)> m_on_run_lost;
+  version_hooks m_versions;
+  locality m_locality;
+  /// How long the requests of a service that this node sends take at their
+  /// targets; moving averages.
+  std::map<std::string, duration> m_run_times;
+  std::map<std::string, duration> m_ways; ///< by data centre, there and back
+  instant m_locality_updated_at{0};
   std::optional<instant> m_started_at; ///< the first tick
   std::map<std::string, retry_budget> m_retry_budgets;
   std::multimap<instant, std::shared_ptr<dispatch_job>> m_delayed_retries;
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -280,6 +280,14 @@
       [&service](wire::memberT& m) { m.service = service; }, m_clock.now);
 }
 
+void gossip_agent::set_version(const std::string& version) {
+  if (m_dependencies.members.self().info.version == version) {
+    return;
+  }
+  m_dependencies.members.update_self(
+      [&version](wire::memberT& m) { m.version = version; }, m_clock.now);
+}
+
 void gossip_agent::set_departure(const wire::target_noticeT& n) {
   const std::unique_ptr<wire::target_noticeT>& known =
       m_dependencies.members.self().info.departure;
--- a/src/kingcupslip/core/gossip_agent.hpp
+++ b/src/kingcupslip/core/gossip_agent.hpp
@@ -49,6 +49,8 @@
   void set_ready(bool ready, double limit = 0);
   /// Announces the service of this node's target.
   void set_service(const std::string& service);
+  /// Announces the version of its software.
+  void set_version(const std::string& version);
 
   /// Announces that an instance of this node's target leaves, so that the other
   /// members remember it when this process restarts.
--- a/src/kingcupslip/core/incoming_calls.cpp
+++ b/src/kingcupslip/core/incoming_calls.cpp
@@ -20,9 +20,9 @@
   m_unanswered_calls.emplace(id, nullptr);
   const cancel_function stop = m_start(
       std::move(call), deadline,
-      [this, id](outcome o) {
+      [this, id, arrived_at = m_clock.now](outcome o) {
         m_unanswered_calls.erase(id);
-        reply(id, std::move(o));
+        reply(id, arrived_at, std::move(o));
       },
       [this, id] { report_silence(id); });
   const auto it = m_unanswered_calls.find(id);
@@ -49,11 +49,13 @@
   m_send(id.first, std::move(body));
 }
 
-void incoming_calls::reply(const call_id& id, outcome o) {
+void incoming_calls::reply(const call_id& id, instant arrived_at, outcome o) {
   wire::replyT reply = to_reply(id.second, std::move(o));
   reply.limit = static_cast<float>(m_local_target.capacity());
   reply.in_flight = static_cast<std::uint32_t>(m_local_target.in_flight());
   reply.queued = static_cast<std::uint32_t>(m_local_target.queued());
+  reply.held_us =
+      static_cast<std::uint32_t>((m_clock.now - arrived_at).count());
   reply.target_answered = m_local_target.notices().answered();
   reply.notice = m_local_target.notices().to_report();
   wire::payloadUnion body;
--- a/src/kingcupslip/core/incoming_calls.hpp
+++ b/src/kingcupslip/core/incoming_calls.hpp
@@ -38,7 +38,7 @@
   /// The sending node and the correlation that it assigned.
   using call_id = std::pair<std::string, std::uint64_t>;
 
-  void reply(const call_id& id, outcome o);
+  void reply(const call_id& id, instant arrived_at, outcome o);
   void report_silence(const call_id& id);
 
   start_function m_start;
--- a/src/kingcupslip/core/member_table.hpp
+++ b/src/kingcupslip/core/member_table.hpp
@@ -32,6 +32,8 @@
   std::uint32_t retransmits_left = 0;
   std::size_t own_in_flight = 0;
   instant load_reported_at{0}; ///< when a reply last reported the load
+  /// How long it held the last call that it replied to.
+  duration last_held{0};
   std::uint32_t failures = 0;
   instant excluded_until{0}; ///< gets no requests from this node until then
   bool unresponsive = false; ///< its connection currently delivers nothing
--- a/src/kingcupslip/core/node.cpp
+++ b/src/kingcupslip/core/node.cpp
@@ -71,7 +71,7 @@
             return m_config.target_out_of_service(m.node) ||
                    m_config.data_centre_out_of_service(m.data_centre);
           },
-          m_calls, m_local_target, m_hooks.send, m_hooks.random),
+          m_calls, m_local_target, m_hooks.send, m_hooks.random, m_hooks.log),
       m_owner(m_clock, m_slots, m_dispatcher),
       m_entry(with_secret(m_options.entry, m_options.fleet_secret),
               entry_stage::dependencies{m_config, m_sync, m_members, m_shares,
@@ -170,6 +170,7 @@
   case wire::payload::quota_ask:
   case wire::payload::quota_grant:
   case wire::payload::run_silent:
+  case wire::payload::rollout_evidence:
   case wire::payload::NONE:
     break;
   }
--- a/src/kingcupslip/core/reason.cpp
+++ b/src/kingcupslip/core/reason.cpp
@@ -62,6 +62,8 @@
      true, true},
     {"target_silent", "the target does not answer this request", 504, false,
      true, false},
+    {"version_not_released", "the target's version gets no such requests", 503,
+     true, true, false},
 }};
 
 } // namespace
--- a/src/kingcupslip/core/reason.hpp
+++ b/src/kingcupslip/core/reason.hpp
@@ -46,6 +46,7 @@
   overloaded_below,
   target_rate_limited,
   target_silent,
+  version_not_released,
   count_
 };
 
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -91,6 +91,7 @@
   out.request_id = c.request_id;
   out.caller_service = c.caller_service;
   out.route = c.route;
+  out.rollout_order = c.rollout_order;
   if (c.known_notice) {
     out.known_notice = std::make_unique<wire::target_noticeT>(*c.known_notice);
   }
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -48,9 +48,13 @@
       m_members(m_options.self, m_hooks.random),
       m_gossip({m_options.self, m_members, m_quarantine, m_hooks.table,
                 m_hooks.send, m_hooks.random, m_hooks.log,
-                [this](wire::gossipT& g) { m_state.fill_gossip(g); },
+                [this](wire::gossipT& g) {
+                  m_state.fill_gossip(g);
+                  m_rollouts.fill_gossip(g);
+                },
                 [this](const std::string& from, const wire::gossipT& g) {
                   m_state.on_gossip(from, g);
+                  m_rollouts.on_gossip(g);
                 }},
                m_clock),
       m_crash_records({m_hooks.table, m_quarantine, m_members, m_hooks.log},
@@ -60,12 +64,18 @@
       m_calls(m_hooks.random() & correlation_prefix_mask),
       m_local_target(target_options_for(m_options, m_hooks.protocol),
                      m_hooks.target, m_clock, m_quarantine),
+      m_rollouts({m_options.rollout_share},
+                 {m_members, m_local_target, m_hooks.table, m_hooks.send,
+                  m_hooks.random, m_hooks.log,
+                  [this](std::size_t n) { m_gossip.gossip_to_random(n); }},
+                 m_clock),
       m_dispatcher(
-          dispatcher::options{false, {}, true}, m_clock, m_members,
+          dispatcher::options{false, {}, true, m_options.locality_options},
+          m_clock, m_members,
           [this](const wire::memberT& m) {
             return m_state.data_centre_out_of_service(m.data_centre);
           },
-          m_calls, m_local_target, m_hooks.send, m_hooks.random),
+          m_calls, m_local_target, m_hooks.send, m_hooks.random, m_hooks.log),
       m_lost_runs(m_quarantine, m_members, m_hooks.random, m_hooks.log,
                   m_clock),
       m_quota(m_members, m_hooks.send, m_hooks.random),
@@ -101,6 +111,23 @@
   m_quarantine.set_on_shrink(
       [this](const crash_record& r) { m_crash_records.on_shrink(r); });
   m_local_target.set_cold_start(std::nullopt);
+  if (m_options.rollout_share > 0) {
+    connect_rollouts();
+  }
+}
+
+void routed_node::connect_rollouts() {
+  m_dispatcher.set_version_hooks(
+      {[this](const std::string& service, bool first_attempt) {
+         return m_rollouts.choose_order(service, first_attempt);
+       },
+       [this](const wire::memberT& m, std::uint64_t order) {
+         return m_rollouts.allows(m, order);
+       }});
+  m_local_target.set_call_check(
+      [this](const wire::callT& call) { return m_rollouts.check_call(call); });
+  m_local_target.set_on_run_ended(
+      [this](const run_report& r) { m_rollouts.on_run_ended(r); });
 }
 
 void routed_node::tick() {
@@ -111,6 +138,7 @@
   m_quota.tick(m_clock.now);
   m_local_target.tick();
   update_target_state();
+  m_rollouts.tick();
   m_dispatcher.tick();
   m_lost_runs.tick();
   m_entry.tick();
@@ -143,6 +171,9 @@
   case wire::payload::cancel:
     m_incoming_calls.on_cancel(from, *body.Ascancel());
     break;
+  case wire::payload::rollout_evidence:
+    m_rollouts.on_evidence(from, *body.Asrollout_evidence());
+    break;
   case wire::payload::run_silent:
     m_calls.on_run_silent(from, body.Asrun_silent()->correlation);
     break;
@@ -266,6 +297,7 @@
   if (table != nullptr) {
     m_quota.apply(*table, m_clock.now);
   }
+  m_rollouts.apply_orders(m_state.rollout_orders());
   const bool out =
       m_state.data_centre_out_of_service(m_options.self.data_centre);
   m_local_target.set_out_of_service(out);
@@ -292,6 +324,9 @@
 void routed_node::update_target_state() {
   m_local_target.set_cold_start(target_cold_start());
   m_gossip.set_service(m_local_target.service());
+  if (m_options.rollout_share > 0) {
+    m_gossip.set_version(m_local_target.version());
+  }
   m_gossip.set_ready(m_local_target.ready(),
                      static_cast<double>(m_local_target.capacity()));
   if (m_local_target.notices().leaving()) {
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -7,6 +7,7 @@
 #include "kingcupslip/core/gossip_agent.hpp"
 #include "kingcupslip/core/incoming_calls.hpp"
 #include "kingcupslip/core/lost_runs.hpp"
+#include "kingcupslip/core/rollouts.hpp"
 #include "kingcupslip/core/routed_entry.hpp"
 
 #include <cstdint>
@@ -36,6 +37,10 @@
   /// requests, plus a fixed number.
   double retry_part = 0.2;
   double retry_slack = 48;
+  /// Part of a service's requests that a version under test may get; 0: no
+  /// roll-outs.
+  double rollout_share = 0;
+  locality::options locality_options;
   /// Time from SIGTERM until the process must have ended.
   duration drain_limit = std::chrono::seconds(6);
 };
@@ -96,6 +101,8 @@
   const desired_state& state() const { return m_state; }
   const member_table& members() const { return m_members; }
   const target_stage& target() const { return m_local_target; }
+  const dispatcher& dispatch() const { return m_dispatcher; }
+  const rollouts& rollout_states() const { return m_rollouts; }
   const request_counters& counts() const { return m_entry.counts(); }
   std::size_t in_progress() const { return m_entry.in_progress(); }
   std::string address_of(const std::string& peer) const {
@@ -103,6 +110,7 @@
   }
 
 private:
+  void connect_rollouts();
   void apply_desired_state();
   /// Updates the target's cold start settings and announces its service,
   /// readiness and concurrency limit.
@@ -122,6 +130,7 @@
   desired_state m_state;
   pending_calls m_calls;
   target_stage m_local_target;
+  rollouts m_rollouts;
   dispatcher m_dispatcher;
   lost_runs m_lost_runs;
   team_quota m_quota;
--- a/src/kingcupslip/core/table.hpp
+++ b/src/kingcupslip/core/table.hpp
@@ -2,6 +2,8 @@
 #ifndef KINGCUPSLIP_CORE_TABLE_HPP
 #define KINGCUPSLIP_CORE_TABLE_HPP
 
+#include "kingcupslip/core/rollout.hpp"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -33,6 +35,8 @@
   std::uint64_t expected_version = 0;
   std::optional<std::string> value; ///< without a value the row is deleted
   bool check_only = false;          ///< checks the version, but writes nothing
+  /// Written for operators in the same transaction.
+  std::optional<rollout_status> status = std::nullopt;
 };
 
 /// A set of writes that takes effect completely or not at all.
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -160,6 +160,9 @@
   if (m_suspect_run == run_id) {
     m_suspect_run = 0;
   }
+  if (m_on_run_ended && !moved) {
+    report_end(r, result);
+  }
   outcome o = make_outcome(r, std::move(result), moved);
   o.retries_used = m_span_retry_budgets.close(r.span_id);
   o.nested_overload = failed_on_nested_overload(r, o);
@@ -188,6 +191,7 @@
     m_hooks.log(event_id::target_announced, {{"instance", a.instance}});
   }
   m_instance = a.instance;
+  m_version = a.version;
   m_instance_disproved = false;
   m_start_time_ms = a.start_time_ms;
   m_sequence = a.sequence;
@@ -456,6 +460,11 @@
   if (m_quarantine.is_quarantined(request.digest, m_clock.now)) {
     return reason::quarantined;
   }
+  if (m_call_check) {
+    if (const std::optional<reason> refused_for = m_call_check(request)) {
+      return refused_for;
+    }
+  }
   if (!has_room_for_body(request.body.size())) {
     return reason::queue_full;
   }
@@ -541,6 +550,7 @@
   r.started_at = m_clock.now;
   r.deadline = std::min(call.deadline, m_finish_by);
   r.idempotent = call.request.idempotent;
+  r.cold = m_clock.now < cold_until();
   r.kind = call.request.host + first_segment(call.request.path);
   r.body_bytes = call.body_bytes;
   r.handler = std::move(call.handler);
@@ -633,6 +643,25 @@
   m_limit.on_answer(m_clock.now - r.started_at, m_runs.size(), m_clock.now);
 }
 
+void target_stage::report_end(const run& r, const target_result& result) const {
+  const bool failed_below = result.status >= http_status::internal_error &&
+                            m_nested_overload_at >= r.started_at;
+  const bool says_nothing = r.cancelled || r.cold || failed_below ||
+                            r.instance_number != m_instance_number ||
+                            is_overload_answer(result) ||
+                            result.end == exchange_end::not_connected;
+  if (says_nothing) {
+    return;
+  }
+  const bool answered = result.end == exchange_end::answered;
+  run_report out;
+  out.kind = r.kind;
+  out.lost = !answered && m_clock.now < r.deadline;
+  out.failed = !answered || result.status >= http_status::internal_error;
+  out.latency = m_clock.now - r.started_at;
+  m_on_run_ended(out);
+}
+
 void target_stage::update_crashes(const run& r, const target_result& result,
                                   bool moved) {
   const bool answered = result.end == exchange_end::answered && !moved;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -84,6 +84,7 @@
   std::uint64_t sequence = 0;
   std::string service;     ///< empty: the service in the settings
   std::string data_centre; ///< empty: not announced
+  std::string version;     ///< of its software; empty: not announced
   bool draining = false;
   std::size_t max_concurrency = 0; ///< requests; 0: unknown
   duration cold_time_left{0};      ///< until it can take its full load
@@ -120,6 +121,15 @@
   event_sink log;
 };
 
+/// How the target ended a run. Refusals, runs that were cancelled, runs of a
+/// cold target and failures for a service below are not reported.
+struct run_report {
+  std::string kind; ///< of the request: host and first part of the path
+  bool failed = false;
+  bool lost = false; ///< the connection broke, or the target ended
+  duration latency{0};
+};
+
 /// Told that a target does not work on a run.
 using silence_handler = std::function<void()>;
 
@@ -161,6 +171,15 @@
   /// Cancels a queued or running request; ignored once it has ended.
   void cancel(std::uint64_t ticket);
 
+  /// Called for each call before it is admitted; a reason refuses it.
+  void set_call_check(
+      std::function<std::optional<reason>(const wire::callT&)> check) {
+    m_call_check = std::move(check);
+  }
+  void set_on_run_ended(std::function<void(const run_report&)> hook) {
+    m_on_run_ended = std::move(hook);
+  }
+
   /// Handles the end of an exchange that `target_hooks::run` has started.
   void on_result(std::uint64_t run, target_result result);
 
@@ -219,6 +238,8 @@
   /// The service of the target, from the settings.
   const std::string& service() const { return m_options.service; }
   const std::string& instance() const { return m_instance; }
+  /// Of the target's software, as it last announced it.
+  const std::string& version() const { return m_version; }
   bool idle() const { return m_runs.empty() && m_queue.size() == 0; }
   /// What the target states about itself.
   const target_notices& notices() const { return m_notices; }
@@ -247,6 +268,7 @@
     instant deadline{0};
     std::string kind; ///< of the request, for the silence detector
     bool idempotent = true;
+    bool cold = false; ///< the target was cold when it started
     bool cancelled = false;
     bool silent = false;   ///< the target does not work on it
     bool ended = false;    ///< its result is being handled
@@ -273,6 +295,8 @@
   /// while it was in progress. Nested calls are not matched with runs, so the
   /// call may belong to another run.
   bool failed_on_nested_overload(const run& r, const outcome& o) const;
+  /// Reports the end of a run, if it says something about the target.
+  void report_end(const run& r, const target_result& result) const;
   /// Applies what the target states about itself in the answer of a run.
   void update_notices(const run& r, const target_result& result);
   /// Frees the places of runs that the target does not work on.
@@ -342,7 +366,10 @@
   std::uint64_t m_suspect_run = 0; ///< one that runs alone; 0: none
   std::size_t m_silent_runs = 0;   ///< of `m_runs`
   std::size_t m_body_bytes = 0;    ///< of queued and running requests
+  std::function<std::optional<reason>(const wire::callT&)> m_call_check;
+  std::function<void(const run_report&)> m_on_run_ended;
   std::string m_instance;
+  std::string m_version;
   std::uint64_t m_start_time_ms = 0;
   std::uint64_t m_sequence = 0;
   /// The target at the address has stated that it is not `m_instance`.
--- a/src/kingcupslip/daemon/metrics.cpp
+++ b/src/kingcupslip/daemon/metrics.cpp
@@ -170,6 +170,19 @@
                            const latency_histogram& latencies) {
   std::string out;
   append_request_metrics(n.counts(), n.target(), latencies, out);
+  append_type(out, "kingcupslip_rollout_phase", "gauge");
+  for (const std::pair<const std::string, std::optional<rollout_phase>>& it :
+       n.rollout_states().phases()) {
+    append_sample(out, "kingcupslip_rollout_phase",
+                  "service=\"" + it.first + "\"",
+                  it.second ? static_cast<double>(*it.second) + 1 : 0);
+  }
+  append_type(out, "kingcupslip_leaving_part", "gauge");
+  for (const std::pair<const std::string, double>& it :
+       n.dispatch().leaving().leaving_parts()) {
+    append_sample(out, "kingcupslip_leaving_part",
+                  "service=\"" + it.first + "\"", it.second);
+  }
   append_gauge(out, "kingcupslip_requests_in_progress",
                static_cast<double>(n.in_progress()));
   append_gauge(out, "kingcupslip_routes_version",
--- a/src/kingcupslip/daemon/settings_reader.cpp
+++ b/src/kingcupslip/daemon/settings_reader.cpp
@@ -68,7 +68,8 @@
 double map_reader::non_negative_number(const std::string& key,
                                        double fallback) {
   const YAML::Node n = child(key);
-  if (!n.IsDefined()) {
+  // Templates leave the value of an optional setting empty.
+  if (!n.IsDefined() || n.IsNull()) {
     return fallback;
   }
   double out = 0;
--- a/tests/support/routed_fleet.cpp
+++ b/tests/support/routed_fleet.cpp
@@ -61,6 +61,8 @@
   o.self.data_centre = m.data_centre;
   o.self.service = m.service;
   o.self.address = m.name + ":1";
+  o.rollout_share = rollout_share;
+  o.locality_options = locality_options;
   o.self.incarnation = static_cast<std::uint64_t>(clocks().wall.count());
   m.running_node = std::make_unique<routed_node>(o, hooks_for(m));
   m.running_node->set_clock(clocks());
@@ -104,6 +106,11 @@
           std::uint64_t version = 0;
           const table_status s = reached ? row_store.commit(t, version)
                                          : table_status::unavailable;
+          for (const table_write& it : t) {
+            if (it.status && s == table_status::ok) {
+              rollout_statuses[it.status->service] = *it.status;
+            }
+          }
           run_in_node(name, generation,
                       [handler, s, version] { handler(s, version); });
         });
@@ -193,6 +200,7 @@
     a.start_time_ms = m.target->generation();
     a.sequence = ++m.sequence;
     a.service = m.service;
+    a.version = versions[name];
     a.max_concurrency = slots > 0 ? slots : m.target->mutable_options().slots;
     a.cold_time_left = cold_time_left;
     run_in_node(name, generation,
@@ -297,6 +305,24 @@
   m_written_items["out/" + data_centre] = m_items["out/" + data_centre];
 }
 
+void routed_fleet::order_rollout(const std::string& service,
+                                 const std::string& version,
+                                 std::chrono::milliseconds time_limit) {
+  ++m_version;
+  m_items["rollout/" + service] = {desired_state_item::kind::rollout,
+                                   service,
+                                   version,
+                                   m_version,
+                                   false,
+                                   time_limit};
+}
+
+void routed_fleet::withdraw_rollout(const std::string& service) {
+  desired_state_item& item = m_items["rollout/" + service];
+  item.version = ++m_version;
+  item.removed = true;
+}
+
 void routed_fleet::copy_store() {
   m_store_copy = {m_items, m_version, row_store};
 }
--- a/tests/support/routed_fleet.hpp
+++ b/tests/support/routed_fleet.hpp
@@ -53,6 +53,10 @@
   /// Write to the store as operators do.
   void write_routes(route_table::content c);
   void mark_out(const std::string& data_centre, bool out);
+  /// Orders a roll-out, or withdraws the order.
+  void order_rollout(const std::string& service, const std::string& version,
+                     std::chrono::milliseconds time_limit);
+  void withdraw_rollout(const std::string& service);
   /// Copies the store; `restore_store` brings the copy back, on a new timeline.
   void copy_store();
   void restore_store();
@@ -88,6 +92,12 @@
   bool announcing = true;              ///< whether targets announce themselves
   duration cold_time_left{0};          ///< the cold start that targets announce
   std::size_t slots = 10; ///< what targets announce; 0: their own slots
+  /// Versions that targets announce, by node.
+  std::map<std::string, std::string> versions;
+  double rollout_share = 0; ///< of nodes that start from now on
+  locality::options locality_options;
+  /// What operators read of each service's roll-out.
+  std::map<std::string, rollout_status> rollout_statuses;
   std::vector<std::string> events; ///< node and name of each event
 
 private:
