--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -1,10 +1,12 @@
 // Assembly of a routed node and its event loop.
 #include "kingcupslip/daemon/routed_daemon.hpp"
 
+#include "kingcupslip/core/header_names.hpp"
 #include "kingcupslip/core/http_status.hpp"
 #include "kingcupslip/daemon/daemon_common.hpp"
 #include "kingcupslip/daemon/event_log.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -54,8 +56,10 @@
   const auto listen =
       [this](const listen_address& at, server_hooks h,
              std::size_t max_body_bytes = max_control_body_bytes,
-             std::size_t max_connections = max_control_connections) {
+             std::size_t max_connections = max_control_connections,
+             std::size_t max_pipelined = 1) {
         server_limits limits;
+        limits.max_pipelined = max_pipelined;
         limits.max_body_bytes = max_body_bytes;
         limits.max_connections = max_connections;
         return std::make_unique<http_server>(m_loop, at.ip, at.port, limits,
@@ -69,8 +73,10 @@
               [this](std::uint64_t connection) {
                 refresh_clock().on_caller_disconnected(connection);
               },
-              m_protocol.encode_response, m_log},
-             max_request_body_bytes, max_caller_connections(settings));
+              m_protocol.encode_response, m_log,
+              [this](const caller_request& r) { return may_overlap(r); }},
+             max_request_body_bytes, max_caller_connections(settings),
+             static_cast<std::size_t>(settings.pipelined_requests));
   m_readiness_server =
       listen(settings.readiness,
              {[this](const caller_request& r, const response_sender& send) {
@@ -129,6 +135,8 @@
   out.retry_part = s.retry_part;
   out.retry_slack = s.retry_slack;
   out.drain_limit = s.grace_period;
+  out.rollout_share = s.rollout_share;
+  out.locality_options = {s.locality, s.leaving_cost};
   return out;
 }
 
@@ -172,12 +180,17 @@
 
 void routed_daemon::on_caller_request(caller_request request,
                                       const response_sender& send) {
+  const std::chrono::milliseconds waited = request.waited;
   std::optional<routed_request> decoded =
       m_protocol.decode_request(std::move(request));
   if (!decoded) {
     send(refusal(reason::malformed));
     return;
   }
+  if (decoded->time_left) {
+    decoded->time_left =
+        std::max(*decoded->time_left - waited, std::chrono::milliseconds(0));
+  }
   const instant started_at = read_clocks().now;
   refresh_clock().on_request(std::move(*decoded),
                              [this, started_at, send](outcome o) {
@@ -186,6 +199,16 @@
                              });
 }
 
+bool routed_daemon::may_overlap(const caller_request& request) const {
+  const header* host = find_header(request.headers, "Host");
+  const route_table* table = m_node->state().routes();
+  const host_route* route =
+      table == nullptr || host == nullptr
+          ? nullptr
+          : table->find_route(host->value, request.request_target);
+  return route != nullptr && route->idempotent;
+}
+
 void routed_daemon::on_announcement(const caller_request& request,
                                     const response_sender& send) {
   const std::optional<announcement> a = m_protocol.decode_announcement(request);
--- a/src/kingcupslip/daemon/routed_daemon.hpp
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -60,6 +60,8 @@
   routed_options make_node_options(const routed_settings& s) const;
   routed_hooks make_node_hooks();
   void on_caller_request(caller_request request, const response_sender& send);
+  /// Whether a request may be handled beside others of its connection.
+  bool may_overlap(const caller_request& request) const;
   void on_announcement(const caller_request& request,
                        const response_sender& send);
   /// Returns whether the announcement is of the target beside this node, as
--- a/src/kingcupslip/daemon/routed_settings.cpp
+++ b/src/kingcupslip/daemon/routed_settings.cpp
@@ -11,6 +11,10 @@
 
 constexpr std::int64_t min_file_descriptors = 512;
 constexpr std::int64_t max_file_descriptors = 1'000'000;
+constexpr std::int64_t max_pipelined_requests = 256;
+/// With more the new version would get the most of the requests, and could not
+/// be compared with the current one.
+constexpr double max_rollout_share = 0.5;
 /// For files, listening sockets, timers and the store.
 constexpr std::int64_t other_descriptors = 256;
 
@@ -42,8 +46,19 @@
   out.grace_period = in.seconds("grace_period_s", out.grace_period);
   out.retry_part = in.non_negative_number("retry_part", out.retry_part);
   out.retry_slack = in.non_negative_number("retry_slack", out.retry_slack);
+  out.rollout_share = in.non_negative_number("rollout_share", 0);
+  out.pipelined_requests = in.integer(
+      "pipelined_requests", out.pipelined_requests, 1, max_pipelined_requests);
+  out.locality = in.choice("locality", {"threshold", "adaptive"}) == 0
+                     ? locality_mode::threshold
+                     : locality_mode::adaptive;
+  out.leaving_cost = in.seconds("leaving_cost_s", out.leaving_cost);
   out.file_descriptors = in.integer("file_descriptors", out.file_descriptors,
                                     min_file_descriptors, max_file_descriptors);
+  if (out.rollout_share >= max_rollout_share) {
+    in.add_error("rollout_share", (*root)["rollout_share"],
+                 "a number below 0.5");
+  }
   in.reject_unknown_keys();
   if (!errors.empty()) {
     sort_errors(errors);
--- a/src/kingcupslip/daemon/routed_settings.hpp
+++ b/src/kingcupslip/daemon/routed_settings.hpp
@@ -2,6 +2,7 @@
 #ifndef KINGCUPSLIP_DAEMON_ROUTED_SETTINGS_HPP
 #define KINGCUPSLIP_DAEMON_ROUTED_SETTINGS_HPP
 
+#include "kingcupslip/core/locality.hpp"
 #include "kingcupslip/daemon/settings.hpp"
 
 #include <boost/outcome.hpp>
@@ -34,6 +35,16 @@
   /// (`retry_part`), plus a fixed number (`retry_slack`).
   double retry_part = 0.2;
   double retry_slack = 48;
+  /// Part of a service's requests that a version under test may get; 0: no
+  /// roll-outs.
+  double rollout_share = 0;
+  /// Requests of one connection that are handled at a time; 1: each waits for
+  /// the answer to the one before.
+  std::int64_t pipelined_requests = 1;
+  locality_mode locality = locality_mode::threshold;
+  /// Of an operator, for each request that leaves the data centre, in time that
+  /// a caller may wait instead.
+  std::chrono::milliseconds leaving_cost{0};
   /// That the process may have open.
   std::int64_t file_descriptors = 8192;
 };
