Chains: what lets requests in knows the pressure on the services below

Cause: a route whose nested calls are refused further down was limited only after its chains had failed, and its rate grew until they failed again. Change: replies report the pressure on their target, or on what that needs, so that it travels up a chain; downstream_limit cuts less urgent routes that have failed below once pressure shows, and lets rates grow as far as it leaves room.

--- a/src/kingcupslip/core/downstream_limit.cpp
+++ b/src/kingcupslip/core/downstream_limit.cpp
@@ -27,9 +27,17 @@
 /// A limit above this multiple of the admitted rate is removed.
 constexpr double removal_headroom_factor = 2;
 constexpr double burst_s = 0.2;
+/// From this pressure on requests wait below, though none is refused yet.
+constexpr double short_pressure = 1.1;
+/// Up to this one there is room for all of the growth.
+constexpr double free_pressure = 0.75;
+constexpr double full_pressure = 0.95;
+/// By one window, for pressure alone.
+constexpr double min_pressure_cut_factor = 0.8;
 
-/// How routes of one priority react to failing windows.
-struct priority_policy {
+} // namespace
+
+struct downstream_limit::priority_policy {
   /// Consecutive failing windows until the rate is cut.
   std::size_t failing_windows_before_cut;
   /// Bounds the cut by one window. Nearly all requests fail under overload, so
@@ -39,8 +47,11 @@
   double careful_growth_factor;
 };
 
-constexpr std::array<priority_policy, priority_count> policy_by_priority{
-    {{8, 0.9, 1.2}, {4, 0.8, 1.1}, {1, 0.6, 1.05}, {1, 0.6, 1.05}}};
+namespace {
+
+constexpr std::array<downstream_limit::priority_policy, priority_count>
+    policy_by_priority{
+        {{8, 0.9, 1.2}, {4, 0.8, 1.1}, {1, 0.6, 1.05}, {1, 0.6, 1.05}}};
 
 } // namespace
 
@@ -101,22 +112,24 @@
   state.ended = 0;
   state.failed = 0;
   if (failed_fraction > max_failed_fraction) {
+    state.has_failed = true;
     ++state.consecutive_failing_windows;
-    if (state.consecutive_failing_windows < policy.failing_windows_before_cut) {
-      return;
-    }
-    const bool was_unlimited = state.rate_per_s == 0;
-    state.failing_rate_per_s = admitted_per_s;
-    set_rate(state,
-             admitted_per_s *
-                 std::max(policy.min_cut_factor, 1 - failed_fraction),
-             now);
-    if (was_unlimited) {
-      m_on_change(route, state.rate_per_s, failed_fraction);
+    if (state.consecutive_failing_windows >=
+        policy.failing_windows_before_cut) {
+      cut(route, state, admitted_per_s,
+          std::max(policy.min_cut_factor, 1 - failed_fraction), failed_fraction,
+          now);
     }
     return;
   }
   state.consecutive_failing_windows = 0;
+  const bool gives_way_first = policy.failing_windows_before_cut == 1;
+  if (state.has_failed && gives_way_first && m_pressure > short_pressure) {
+    cut(route, state, admitted_per_s,
+        std::max(min_pressure_cut_factor, 1 / m_pressure), failed_fraction,
+        now);
+    return;
+  }
   if (state.rate_per_s == 0) {
     return;
   }
@@ -126,13 +139,34 @@
     m_on_change(route, 0, failed_fraction);
     return;
   }
+  set_rate(state, state.rate_per_s * growth(state, policy), now);
+}
+
+void downstream_limit::cut(const std::string& route, route_state& state,
+                           double admitted_per_s, double factor,
+                           double failed_fraction, instant now) {
+  const bool was_unlimited = state.rate_per_s == 0;
+  state.failing_rate_per_s = admitted_per_s;
+  set_rate(state, admitted_per_s * factor, now);
+  if (was_unlimited) {
+    m_on_change(route, state.rate_per_s, failed_fraction);
+  }
+}
+
+double downstream_limit::growth(const route_state& state,
+                                const priority_policy& policy) const {
   const bool near_failure =
       state.rate_per_s > state.failing_rate_per_s * careful_range_low &&
       state.rate_per_s < state.failing_rate_per_s * careful_range_high;
-  set_rate(state,
-           state.rate_per_s * (near_failure ? policy.careful_growth_factor
-                                            : fast_growth_factor),
-           now);
+  const double careful =
+      near_failure ? policy.careful_growth_factor : fast_growth_factor;
+  if (m_pressure <= 0) {
+    return careful;
+  }
+  if (m_pressure >= full_pressure) {
+    return std::min(careful, policy.careful_growth_factor);
+  }
+  return m_pressure <= free_pressure ? fast_growth_factor : careful;
 }
 
 void downstream_limit::set_rate(route_state& state, double rate_per_s,
--- a/src/kingcupslip/core/downstream_limit.hpp
+++ b/src/kingcupslip/core/downstream_limit.hpp
@@ -21,9 +21,16 @@
 /// are cut at once, those of higher priority only after several failing
 /// windows in a row.
 ///
+/// A route whose calls were refused before is limited by the pressure below it
+/// alone, before its calls are refused again, and its rate grows as far as the
+/// pressure leaves room.
+///
 /// Invariant: a route without such failures has no limit.
 class downstream_limit {
 public:
+  /// How routes of one priority react to failing windows.
+  struct priority_policy;
+
   /// Called with the rate when a route becomes limited, and with rate 0 when
   /// the limit is removed. `failed_fraction` is that of the last window.
   using change_hook = std::function<void(
@@ -31,6 +38,10 @@
 
   explicit downstream_limit(change_hook on_change);
 
+  /// Pressure on the services below, as the replies to nested calls report it;
+  /// 0: unknown. Call before `admit`.
+  void set_pressure(double pressure) { m_pressure = pressure; }
+
   /// Whether a request may start now; counts it if so.
   bool admit(const std::string& route, priority rank, instant now);
 
@@ -49,6 +60,7 @@
     std::size_t ended = 0;
     std::size_t failed = 0;
     std::size_t consecutive_failing_windows = 0;
+    bool has_failed = false;       ///< its calls were refused before
     double rate_per_s = 0;         ///< 0: not limited
     double failing_rate_per_s = 0; ///< rate of the last failing window
     token_bucket bucket;
@@ -56,9 +68,14 @@
 
   void close_window(const std::string& route, route_state& state, priority rank,
                     instant now);
+  void cut(const std::string& route, route_state& state, double admitted_per_s,
+           double factor, double failed_fraction, instant now);
+  /// Factor by which a limited rate changes after a window without failures.
+  double growth(const route_state& state, const priority_policy& policy) const;
   void set_rate(route_state& state, double rate_per_s, instant now) const;
 
   change_hook m_on_change;
+  double m_pressure = 0;
   std::map<std::string, route_state> m_routes;
 };
 
--- a/src/kingcupslip/core/outcome.hpp
+++ b/src/kingcupslip/core/outcome.hpp
@@ -35,6 +35,9 @@
   /// The run failed, and while it was in progress a nested call of the
   /// target was refused because of overload.
   bool nested_overload = false;
+  /// On the target, or on what its nested calls need, relative to what these
+  /// can take; 0: unknown.
+  double pressure = 0;
   /// Whether the node beside the target has said how the run ended.
   bool reported = false;
   std::vector<header> headers;
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -68,6 +68,7 @@
   out.service = c.service;
   out.path = c.path;
   out.method = c.method;
+  out.pressure = reply.pressure;
   out.team = c.team;
   out.weight = c.weight;
   out.time_left_us = c.time_left_us;
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -213,6 +213,9 @@
       (info_of(o.refusal_reason).counts_as_overload || o.nested_overload)) {
     m_dependencies.local_target.on_nested_overload();
   }
+  if (e->nested && o.pressure > 0) {
+    m_dependencies.local_target.on_nested_pressure(o.pressure);
+  }
   m_counts.on_outcome({e->team, e->route_name}, o);
   log_result(*e, o);
   e->job.reset();
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -31,6 +31,9 @@
 /// leaves, or was taken out of service.
 constexpr duration max_start_after_leaving = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds shed_retry_after{1000};
+/// A smaller part of refusals is chance.
+constexpr double min_refused_part = 0.05;
+constexpr double max_refused_part = 0.75;
 
 /// An unknown priority, from a node of another release, counts as the lowest.
 priority rank_of(const wire::callT& request) {
@@ -133,6 +136,7 @@
   it->second.ended = true;
   m_body_bytes -= r.body_bytes;
   update_limits(r, result);
+  m_refused_part.add(is_overload_answer(result) ? 1 : 0, m_clock.now);
   const bool moved = result.end == exchange_end::answered &&
                      m_options.protocol.is_moved_answer &&
                      m_options.protocol.is_moved_answer(result);
@@ -490,6 +494,7 @@
   if (too_late) {
     return reason::shed;
   }
+  m_downstream.set_pressure(m_pressure_below.value(m_clock.now));
   const bool limited =
       !request.route.empty() &&
       !m_downstream.admit(request.route, rank_of(request), m_clock.now);
@@ -870,6 +875,16 @@
              : limit();
 }
 
+double target_stage::pressure() const {
+  const double load = static_cast<double>(busy() + m_queue.size()) /
+                      static_cast<double>(std::max<std::size_t>(1, capacity()));
+  // A target that refuses a part of its requests bears the rest only.
+  const double refused =
+      std::min(max_refused_part, m_refused_part.value(m_clock.now));
+  const double by_refusals = refused > min_refused_part ? 1 / (1 - refused) : 0;
+  return std::max({load, by_refusals, m_pressure_below.value(m_clock.now)});
+}
+
 std::size_t target_stage::max_running() const {
   if (m_options.plain_forwarding) {
     return m_options.max_in_flight;
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -10,6 +10,7 @@
 #include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/outcome.hpp"
 #include "kingcupslip/core/pending_calls.hpp"
+#include "kingcupslip/core/pressure_gauge.hpp"
 #include "kingcupslip/core/quarantine.hpp"
 #include "kingcupslip/core/silence_detector.hpp"
 #include "kingcupslip/core/span_retry_budget.hpp"
@@ -211,6 +212,12 @@
   /// A nested call of the target was refused because of overload, by this node
   /// or further downstream.
   void on_nested_overload() { m_nested_overload_at = m_clock.now; }
+  /// The reply to a nested call of the target reported this pressure.
+  void on_nested_pressure(double pressure) {
+    m_pressure_below.add(pressure, m_clock.now);
+  }
+  /// On the target, or on what its nested calls need, whichever is greater.
+  double pressure() const;
 
   /// Treats the target as cold for the period of a cold start, whatever its
   /// current instance announces: an announcement may be older than this call.
@@ -356,6 +363,8 @@
   silence_detector m_silence_detector;
   concurrency_limit m_limit;
   downstream_limit m_downstream;
+  pressure_gauge m_pressure_below;
+  pressure_gauge m_refused_part; ///< of the runs, by the target itself
   admission_queue m_queue;
   span_retry_budget m_span_retry_budgets;
   std::unordered_map<std::uint64_t, queued_call> m_queued_calls; ///< by ticket
--- a/tests/core/fan_out_test.cpp
+++ b/tests/core/fan_out_test.cpp
@@ -1,6 +1,7 @@
 // Tests the load pattern of fan-out to the smallest service: each request makes
 // several calls there, one after the other, and fails with the first refusal.
 #include "kingcupslip/core/downstream_limit.hpp"
+#include "kingcupslip/core/pressure_gauge.hpp"
 #include "kingcupslip/core/token_bucket.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -34,7 +35,10 @@
   }
 
   /// Calls a second that the service takes.
-  void set_capacity(double per_s) { m_below.resize(per_s, per_s * 0.1, m_now); }
+  void set_capacity(double per_s) {
+    m_capacity_per_s = per_s;
+    m_below.resize(per_s, per_s * 0.1, m_now);
+  }
 
   /// Requests a second over all nodes.
   double offered_per_s = 0;
@@ -43,7 +47,10 @@
   void run_for(duration span) {
     for (const instant end = m_now + span; m_now < end; m_now += step) {
       offer();
-      advance_calls();
+      const double calls = static_cast<double>(advance_calls());
+      m_pressure.add(calls * us_per_s / static_cast<double>(step.count()) /
+                         m_capacity_per_s,
+                     m_now);
     }
   }
 
@@ -66,19 +73,23 @@
     m_due += offered_per_s * static_cast<double>(step.count()) / us_per_s;
     for (; m_due >= 1; m_due -= 1) {
       const std::size_t node = ++m_sent % m_limits.size();
+      m_limits[node]->set_pressure(m_pressure.value(m_now));
       if (m_limits[node]->admit("r", priority::low, m_now)) {
         m_chains.push_back({node, m_calls_per_request, m_now});
       }
     }
   }
 
-  void advance_calls() {
+  /// Returns how many calls were made.
+  std::size_t advance_calls() {
+    std::size_t calls = 0;
     std::deque<chain> going_on;
     for (chain& it : m_chains) {
       if (it.next_call > m_now) {
         going_on.push_back(it);
         continue;
       }
+      ++calls;
       if (!m_below.take(m_now)) {
         m_limits[it.node]->on_end("r", priority::low, true, m_now);
       } else if (--it.calls_left == 0) {
@@ -90,11 +101,15 @@
       }
     }
     m_chains.swap(going_on);
+    return calls;
   }
 
   std::size_t m_calls_per_request;
   std::vector<std::unique_ptr<downstream_limit>> m_limits;
   token_bucket m_below;
+  double m_capacity_per_s = 0;
+  /// What the replies to calls report.
+  pressure_gauge m_pressure;
   std::deque<chain> m_chains;
   instant m_now{seconds(100)};
   double m_due = 0;
