--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -1,10 +1,18 @@
 // Field-by-field conversion of headers, outcomes and calls.
 #include "kingcupslip/core/reply_codec.hpp"
 
+#include "kingcupslip/core/http_status.hpp"
+
 #include <utility>
 
 namespace kingcupslip {
 
+namespace {
+
+constexpr std::uint16_t max_status = 599;
+
+} // namespace
+
 wire_headers to_wire(const std::vector<header>& headers) {
   wire_headers out;
   out.reserve(headers.size());
@@ -45,7 +53,12 @@
   const bool known =
       reply.verdict <= static_cast<std::uint8_t>(verdict::may_have_run) &&
       reply.reason < reason_count;
-  if (!known) {
+  // An answer with another status would reach the caller as no status of HTTP.
+  const bool is_answer =
+      reply.reason == static_cast<std::uint8_t>(reason::none);
+  const bool has_status =
+      reply.status >= http_status::ok && reply.status <= max_status;
+  if (!known || (is_answer && !has_status)) {
     return refusal(reason::connection_lost, verdict::may_have_run);
   }
   outcome out;
@@ -55,6 +68,7 @@
   out.retry_after = std::chrono::milliseconds(reply.retry_after_ms);
   out.retries_used = reply.retries_used;
   out.nested_overload = reply.overload_below;
+  out.pressure = reply.pressure;
   out.reported = true;
   out.headers = from_wire(reply.headers);
   out.body = std::move(reply.body);
@@ -68,7 +82,6 @@
   out.service = c.service;
   out.path = c.path;
   out.method = c.method;
-  out.pressure = reply.pressure;
   out.team = c.team;
   out.weight = c.weight;
   out.time_left_us = c.time_left_us;
