Sessions: pipelines and roll-outs over real processes; shorter test cycles

Cause: over real processes a good version with a time limit of 6 s was rolled back for too few answers: the test load came in cycles of 4 s, and the first write of the row waited half a second. Change: cycles of 2 s, and no wait after a read; sessions play eight requests in a pipeline, a good version and one that fails.

--- a/src/kingcupslip/core/rollout_decider.cpp
+++ b/src/kingcupslip/core/rollout_decider.cpp
@@ -73,6 +73,7 @@
         if (s != table_status::ok) {
           return;
         }
+        m_next_call_at = m_clock.now;
         const bool found = !rows.empty() && rows.front().key == key;
         m_row = {found ? rows.front().version : 0, true};
         if (found) {
--- a/src/kingcupslip/core/rollout_exposure.cpp
+++ b/src/kingcupslip/core/rollout_exposure.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Of the wall clock. Spans both full load and none.
-constexpr wall_time cycle = std::chrono::seconds(4);
+constexpr wall_time cycle = std::chrono::seconds(2);
 /// Of `max_share`; the rest is left for requests that are retried.
 constexpr double used_part_of_share = 0.8;
 /// Of the requests while the new version is under full load.
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -71,7 +72,9 @@
             f"announcements: {local}:{self.control}\n"
             f"peers: {local}:{ports[3]}\nmetrics: {local}:{ports[4]}\n"
             f"store: {local}:{store_port}\n"
-            "fleet_secret: secret-of-the-fleet-x\n")
+            "fleet_secret: secret-of-the-fleet-x\n"
+            "rollout_share: 0.1\npipelined_requests: 8\n"
+            "locality: adaptive\nleaving_cost_s:\n")
         self.settings.flush()
         self.process = None
 
@@ -449,6 +452,83 @@
         yield "still served", self.wait(lambda: self.send("/safe/a")[0] == 200)
         yield "readable log", all(map(json.loads, open(node.log.name)))
 
+    def pipelines(self):
+        """Requests that are sent before the earlier ones are answered."""
+        def request(path):
+            self.next_id += 1
+            return (f"GET {path} HTTP/1.1\r\nHost: h.example\r\n"
+                    f"X-Kingcupslip-Request-Id: q{self.next_id}\r\n"
+                    "X-Kingcupslip-Request-Deadline: 5000\r\n"
+                    "X-Api-Key: key-one\r\n\r\n").encode()
+        for n in self.nodes:
+            n.endpoint.delay = 0.2
+        first = self.next_id + 1
+        before = len(self.requests_seen())
+        began = time.monotonic()
+        with socket.create_connection(
+                ("127.0.0.1", self.nodes[0].callers), 10) as connection:
+            connection.sendall(b"".join(
+                request(f"/safe/{i}") for i in range(8)))
+            got = b""
+            while got.count(b"HTTP/1.1 200") < 8 or not got.endswith(b"ran "):
+                data = connection.recv(65536)
+                if not data:
+                    break
+                got += data
+        took = time.monotonic() - began
+        for n in self.nodes:
+            n.endpoint.delay = 0
+        ids = re.findall(rb"Request-Id: q(\d+)", got)
+        yield "in order", ids == [b"%d" % (first + i) for i in range(8)]
+        yield "runs", len(self.requests_seen()) - before
+        # One after the other they take 1.6 s.
+        yield "side by side", took < 0.8
+
+    def roll_out(self):
+        """The operator moves the traffic to another version, which is good,
+        and then to one that is bad."""
+        key = "rollout/svc"
+
+        def order(version, duration_s):
+            self.store.put("op", key, {"service": "svc", "target": version,
+                                       "duration-s": duration_s})
+
+        def play(node, version, duration_s):
+            endpoint = self.nodes[node].endpoint
+            endpoint.version = version
+            endpoint.instance += "-" + version
+            endpoint.born = int(time.time() * 1000)
+            endpoint.sequence = 0
+            order(version, duration_s)
+            statuses = self.send_many(int(duration_s * 100), 0.01)
+            self.wait(lambda: (self.store.value("status", key) or {}).get(
+                "state") in ("completed", "rolled_back"))
+            return statuses.count(200) > len(statuses) * 0.9
+
+        yield "served", play(1, "v2", 10)
+        yield "status", self.store.value("status", key)
+        before = len(self.nodes[0].endpoint.requests)
+        yield "served by the new version", {
+            self.send("/safe/a", node=i % 2)[0] for i in range(20)}
+        yield "runs at the old one", (
+            len(self.nodes[0].endpoint.requests) - before)
+        self.nodes[0].endpoint.status = 500
+        yield "served beside a bad version", play(0, "v3", 10)
+        yield "status", self.store.value("status", key)
+        before = len(self.nodes[0].endpoint.requests)
+        yield "served by the current version", {
+            self.send("/safe/a", node=i % 2)[0] for i in range(20)}
+        yield "runs at the bad one", (
+            len(self.nodes[0].endpoint.requests) - before)
+        self.nodes[0].endpoint.status = 200
+        self.nodes[0].endpoint.version = "v1"
+        self.store.put("op", key, "no order")
+        yield "unreadable order", self.wait(lambda: any(
+            n.event_count("rollout_unreadable") for n in self.nodes))
+        self.store.delete("op", key)
+        yield "both served again", self.wait(lambda: all(
+            self.send("/safe/a", node=i % 2)[0] == 200 for i in range(8)))
+
     def check_ins(self):
         """Invalid heartbeats and a heartbeat of another endpoint."""
         n = self.nodes[0]
@@ -766,7 +846,7 @@
                         self.repeated_refusals, self.promising_statuses,
                         self.target_notices, self.endless_answers,
                         self.cut_answers, self.check_ins, self.foreign_bytes,
-                        self.endless_bytes,
+                        self.endless_bytes, self.pipelines, self.roll_out,
                         self.reload, self.changes, self.outage,
                         self.restored_store, self.foreign_rows,
                         self.graceful_stop, self.stop_with_requests,
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -115,6 +115,12 @@
             self.oldest_history_version = self.version
             self.changed.notify_all()
 
+    def value(self, table, key):
+        """Returns a row as an operator reads it; None if there is none."""
+        with self.changed:
+            row = self.rows.get((table, "", key))
+        return row and json.loads(base64.b64decode(row["value"]))
+
     def set_row(self, name, value):
         row = {"table": name[0], "part": name[1], "key": name[2],
                "record-version": self.version}
@@ -229,6 +235,7 @@
     def __init__(self, port, service, instance):
         self.address = f"127.0.0.1:{port}"
         self.service = service
+        self.version = "v1"
         self.instance = instance
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -311,6 +318,6 @@
     def next_heartbeat(self, **changed):
         self.sequence += 1
         return {"service": self.service, "address": self.address,
-                "zone": "dc-a", "version": "v1", "slots": 8,
+                "zone": "dc-a", "version": self.version, "slots": 8,
                 "state": "ready", "cold-remaining-s": 0,
                 "sequence": self.sequence, "born": self.born, **changed}
