--- a/src/kingcupslip/core/downstream_limit.cpp
+++ b/src/kingcupslip/core/downstream_limit.cpp
@@ -27,8 +27,9 @@
 /// A limit above this multiple of the admitted rate is removed.
 constexpr double removal_headroom_factor = 2;
 constexpr double burst_s = 0.2;
-/// From this pressure on requests wait below, though none is refused yet.
-constexpr double short_pressure = 1.1;
+/// From this pressure on requests wait below for more than half of the time
+/// that they run, and will be refused next.
+constexpr double short_pressure = 1.6;
 /// Up to this one there is room for all of the growth.
 constexpr double free_pressure = 0.75;
 constexpr double full_pressure = 0.95;
--- a/tests/core/downstream_limit_test.cpp
+++ b/tests/core/downstream_limit_test.cpp
@@ -123,3 +123,19 @@
   l.run(now, seconds(6), 0.9);
   CHECK(limit.rate_of("r") > 0);
 }
+
+// Guards against a limit that waits for failures where the pressure below tells
+// that they come.
+TEST(downstream_limit, pressure_limits_a_route_that_has_failed_before) {
+  offered_load l{limit, "r", priority::low, 100};
+  l.run(now, seconds(1), 0.3);
+  l.run(now, seconds(8), 0);
+  LONGS_EQUAL(0, limit.rate_of("r"));
+  limit.set_pressure(2);
+  l.run(now, seconds(2), 0);
+  CHECK(limit.rate_of("r") > 0);
+  CHECK(limit.rate_of("r") < 80);
+  limit.set_pressure(0.5);
+  l.run(now, seconds(4), 0);
+  LONGS_EQUAL(0, limit.rate_of("r"));
+}
