Command line: where a request would go now, and why, without sending it

Cause: operators asked which target a request would go to and what would be refused, and only a request told. Change: kingcupslip route asks the metrics address of a node for a preview of the checks and of the targets by load, with the reason for those that are left out; it takes no token and sends nothing.

--- a/src/kingcupslip/cli/admin_tables.cpp
+++ b/src/kingcupslip/cli/admin_tables.cpp
@@ -110,6 +110,26 @@
       make_rows(json::parse(json_text), {"id", "team", "withdrawn"}));
 }
 
+std::string route_as_table(const std::string& json_text) {
+  const json p = json::parse(json_text);
+  std::string out = "route " + field(p, "route") + ", team " +
+                    field(p, "team") + ", at " + field(p, "node") +
+                    ", refused for " + field(p, "refused_for") + "\n";
+  if (p.contains("quota_tokens")) {
+    out += "quota " + field(p, "quota_rate_per_s") + " a second, " +
+           field(p, "quota_tokens") + " tokens here\n";
+  }
+  for (const json& s : p["services"]) {
+    out += "service " + field(s, "service") + ", weight " + field(s, "weight") +
+           ", leaving " + format_counts(s["leaving"]) + "\n";
+    out += render_table(
+        {"NODE", "DATA CENTRE", "VERSION", "LOAD", "LIMIT", "LEFT OUT"},
+        make_rows(s["targets"], {"node", "data_centre", "version", "load",
+                                 "limit", "left_out"}));
+  }
+  return out;
+}
+
 std::string fields_as_table(const std::string& json_text) {
   const json value = json::parse(json_text, nullptr, false);
   std::string out;
--- a/src/kingcupslip/cli/admin_tables.hpp
+++ b/src/kingcupslip/cli/admin_tables.hpp
@@ -19,6 +19,10 @@
 /// Keys, one per line. Nodes do not store the secrets.
 std::string keys_as_table(const std::string& json_text);
 
+/// Where a request would go: the route, and each target with its load or the
+/// reason why it is left out.
+std::string route_as_table(const std::string& json_text);
+
 /// Any other response: one line per field.
 std::string fields_as_table(const std::string& json_text);
 
--- a/src/kingcupslip/core/dispatcher.cpp
+++ b/src/kingcupslip/core/dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "kingcupslip/core/reply_codec.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace kingcupslip {
@@ -125,9 +126,45 @@
   }
 }
 
-bool dispatcher::is_in_service(const member& m) const {
-  return m.info.ready && m.usable() && m_clock.now >= m.excluded_until &&
-         !m_is_out_of_service(m.info);
+const char* dispatcher::why_out_of_service(const member& m) const {
+  return !m.usable()                      ? "gone"
+         : m_is_out_of_service(m.info)    ? "out_of_service"
+         : !m.info.ready                  ? "not_ready"
+         : m_clock.now < m.excluded_until ? "failed_lately"
+                                          : nullptr;
+}
+
+std::vector<previewed_target> dispatcher::preview(const std::string& service,
+                                                  std::uint64_t order) const {
+  std::vector<previewed_target> out;
+  for (const std::pair<const std::string, member>& it : m_members.all()) {
+    const member& m = it.second;
+    if (m.info.service != service || m.state() == member_state::left) {
+      continue;
+    }
+    const target_candidate c = candidate_of(m);
+    previewed_target t;
+    t.node = m.info.node;
+    t.data_centre = m.info.data_centre;
+    t.version = m.info.version;
+    t.limit = c.limit;
+    t.load = std::max(c.own_in_flight, c.reported_in_flight);
+    t.relative_load = relative_load(c);
+    const char* why = why_out_of_service(m);
+    const bool other_version =
+        m_versions.allows && !m_versions.allows(m.info, order);
+    t.left_out = why != nullptr   ? why
+                 : other_version  ? "version_not_released"
+                 : m.unresponsive ? "unresponsive"
+                                  : "";
+    out.push_back(std::move(t));
+  }
+  std::sort(out.begin(), out.end(),
+            [](const previewed_target& a, const previewed_target& b) {
+              return std::make_tuple(!a.left_out.empty(), a.relative_load) <
+                     std::make_tuple(!b.left_out.empty(), b.relative_load);
+            });
+  return out;
 }
 
 void dispatcher::update_locality() {
@@ -190,8 +227,6 @@
 dispatcher::candidates(const dispatch_job& job) const {
   std::vector<target_candidate> out;
   std::vector<target_candidate> unresponsive_candidates;
-  const std::string& self = m_members.self().info.node;
-  const std::string& here = m_members.self().info.data_centre;
   for (const std::pair<const std::string, member>& it : m_members.all()) {
     const wire::memberT& m = it.second.info;
     const bool in_service =
@@ -200,25 +235,31 @@
     if (!in_service || job.tried_nodes.count(m.node) != 0) {
       continue;
     }
-    target_candidate v;
-    v.node = m.node;
-    v.same_data_centre = m.data_centre == here;
-    v.data_centre = &m.data_centre;
-    v.own_in_flight = it.second.own_in_flight;
-    v.failures = it.second.failures;
-    const bool local = m.node == self;
-    v.limit = local ? static_cast<double>(m_local_target.capacity()) : m.limit;
-    v.reported_in_flight =
-        local ? m_local_target.in_flight() + m_local_target.queued()
-        : m_clock.now - it.second.load_reported_at <= load_report_max_age
-            ? m.in_flight
-            : 0;
     (it.second.unresponsive ? unresponsive_candidates : out)
-        .push_back(std::move(v));
+        .push_back(candidate_of(it.second));
   }
   return out.empty() ? unresponsive_candidates : out;
 }
 
+target_candidate dispatcher::candidate_of(const member& m) const {
+  const member& self = m_members.self();
+  const bool local = m.info.node == self.info.node;
+  target_candidate out;
+  out.node = m.info.node;
+  out.same_data_centre = m.info.data_centre == self.info.data_centre;
+  out.data_centre = &m.info.data_centre;
+  out.own_in_flight = m.own_in_flight;
+  out.failures = m.failures;
+  out.limit =
+      local ? static_cast<double>(m_local_target.capacity()) : m.info.limit;
+  out.reported_in_flight =
+      local ? m_local_target.in_flight() + m_local_target.queued()
+      : m_clock.now - m.load_reported_at <= load_report_max_age
+          ? m.info.in_flight
+          : 0;
+  return out;
+}
+
 void dispatcher::attempt(const std::shared_ptr<dispatch_job>& job) {
   const reason send_refusal =
       job->check_before_send ? job->check_before_send() : reason::none;
--- a/src/kingcupslip/core/dispatcher.hpp
+++ b/src/kingcupslip/core/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "kingcupslip/core/message_sender.hpp"
 #include "kingcupslip/core/pending_calls.hpp"
 #include "kingcupslip/core/retry_budget.hpp"
+#include "kingcupslip/core/route_preview.hpp"
 #include "kingcupslip/core/target_stage.hpp"
 
 #include <cstdint>
@@ -121,6 +122,10 @@
 
   const locality& leaving() const { return m_locality; }
 
+  /// The targets of a service, and why requests of `order` do not go to some.
+  std::vector<previewed_target> preview(const std::string& service,
+                                        std::uint64_t order) const;
+
   /// Records what the reply of `node` reports about its target: the load, and
   /// what the target stated about itself.
   void on_target_report(const std::string& node, const wire::replyT& reply);
@@ -135,7 +140,10 @@
   choose_candidate(const dispatch_job& job,
                    const std::vector<target_candidate>& targets);
   /// Whether a member's target may get requests of its service at present.
-  bool is_in_service(const member& m) const;
+  bool is_in_service(const member& m) const { return !why_out_of_service(m); }
+  /// Null if it may.
+  const char* why_out_of_service(const member& m) const;
+  target_candidate candidate_of(const member& m) const;
   void update_locality();
   void record_times(const running_attempt& attempt, const outcome& o);
   void attempt(const std::shared_ptr<dispatch_job>& job);
--- a/src/kingcupslip/core/http_status.hpp
+++ b/src/kingcupslip/core/http_status.hpp
@@ -9,6 +9,7 @@
 constexpr std::uint16_t ok = 200;
 constexpr std::uint16_t bad_request = 400;
 constexpr std::uint16_t unauthorized = 401;
+constexpr std::uint16_t not_found = 404;
 constexpr std::uint16_t request_timeout = 408;
 constexpr std::uint16_t conflict = 409;
 constexpr std::uint16_t gone = 410;
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -151,6 +151,55 @@
   m_dependencies.dispatch.dispatch(job);
 }
 
+route_preview routed_entry::preview(const std::string& team,
+                                    const std::string& host,
+                                    const std::string& path) const {
+  route_preview out;
+  out.team = team;
+  const route_table* table = m_dependencies.state.routes();
+  if (m_ended || m_refusing_new || table == nullptr) {
+    out.refused_for = table == nullptr ? reason::starting : reason::draining;
+    return out;
+  }
+  const host_route* route = table->find_route(host, path);
+  if (route == nullptr || route->services.empty()) {
+    out.refused_for = reason::unknown_service;
+    return out;
+  }
+  out.route = route->name;
+  out.time_limit = route->timeout;
+  out.max_targets = std::max<std::uint32_t>(1, route->max_targets);
+  out.idempotent = route->idempotent;
+  const auto settings = std::find_if(
+      table->teams().begin(), table->teams().end(),
+      [&team](const team_settings& it) { return it.name == team; });
+  const bool found = settings != table->teams().end();
+  out.unknown_team = !team.empty() && !found;
+  const bool needs_key = !route->open && !table->teams().empty();
+  if (needs_key && !found) {
+    out.refused_for = reason::no_key;
+    return out;
+  }
+  if (needs_key && settings->rate_per_s > 0) {
+    out.quota_rate_per_s = settings->rate_per_s;
+    out.quota_tokens = m_dependencies.quota.available(team, m_clock.now);
+  }
+  for (const weighted_service& it : route->services) {
+    previewed_service s;
+    s.name = it.service;
+    s.weight = it.weight;
+    s.leaving = m_dependencies.dispatch.leaving().parts(it.service);
+    s.targets = m_dependencies.dispatch.preview(it.service, 0);
+    out.services.push_back(std::move(s));
+  }
+  const bool has_target = std::any_of(
+      out.services.begin(), out.services.end(), [](const previewed_service& s) {
+        return !s.targets.empty() && s.targets.front().left_out.empty();
+      });
+  out.refused_for = has_target ? reason::none : reason::no_target;
+  return out;
+}
+
 void routed_entry::on_caller_disconnected(std::uint64_t connection) {
   const auto range = m_by_connection.equal_range(connection);
   std::vector<active_request_ptr> requests;
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -8,6 +8,7 @@
 #include "kingcupslip/core/quarantine.hpp"
 #include "kingcupslip/core/rate_limiter.hpp"
 #include "kingcupslip/core/request_counters.hpp"
+#include "kingcupslip/core/route_preview.hpp"
 #include "kingcupslip/core/route_table.hpp"
 #include "kingcupslip/core/team_quota.hpp"
 
@@ -55,6 +56,11 @@
   /// Handles a request. `handler` is called exactly once.
   void on_request(routed_request request, outcome_handler handler);
 
+  /// Where a request of a team would go now, and why, without sending it. An
+  /// empty team stands for a request without a key.
+  route_preview preview(const std::string& team, const std::string& host,
+                        const std::string& path) const;
+
   /// Cancels the requests in progress of a connection that was closed.
   void on_caller_disconnected(std::uint64_t connection);
 
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -61,6 +61,11 @@
 
   void on_request(routed_request request, outcome_handler handler);
   void on_caller_disconnected(std::uint64_t connection);
+  /// Where a request of a team would go now, and why, without sending it.
+  route_preview preview(const std::string& team, const std::string& host,
+                        const std::string& path) const {
+    return m_entry.preview(team, host, path);
+  }
 
   void on_message(const std::string& from, wire::payloadUnion& body);
   void on_call_unsent(std::uint64_t correlation);
--- a/src/kingcupslip/core/team_quota.cpp
+++ b/src/kingcupslip/core/team_quota.cpp
@@ -112,6 +112,13 @@
   ask_homes(team, it->second, now);
 }
 
+double team_quota::available(const std::string& team, instant now) {
+  const auto it = m_teams.find(team);
+  return it == m_teams.end()
+             ? 0
+             : it->second.bucket.level(now) + it->second.borrowed;
+}
+
 bool team_quota::take(const std::string& team, instant now) {
   const auto it = m_teams.find(team);
   if (it == m_teams.end()) {
--- a/src/kingcupslip/core/team_quota.hpp
+++ b/src/kingcupslip/core/team_quota.hpp
@@ -42,6 +42,8 @@
   void apply(const route_table& table, instant now);
   void tick(instant now);
 
+  /// Tokens that this node has for a team's requests.
+  double available(const std::string& team, instant now);
   bool take(const std::string& team, instant now);
   duration expected_wait(const std::string& team, std::size_t ahead,
                          instant now);
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -3,8 +3,10 @@
 
 #include "kingcupslip/core/header_names.hpp"
 #include "kingcupslip/core/http_status.hpp"
+#include "kingcupslip/core/text.hpp"
 #include "kingcupslip/daemon/daemon_common.hpp"
 #include "kingcupslip/daemon/event_log.hpp"
+#include "kingcupslip/daemon/route_preview_json.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -95,8 +97,12 @@
               nullptr, nullptr});
   m_metrics_server =
       listen(settings.metrics,
-             {[this](const caller_request&, const response_sender& send) {
+             {[this](const caller_request& r, const response_sender& send) {
                 refresh_clock();
+                if (starts_with(r.request_target, route_preview_path)) {
+                  send(answer_route_preview(*m_node, r.request_target));
+                  return;
+                }
                 send(plain_response(
                     http_status::ok, "text/plain; version=0.0.4",
                     render_metrics(*m_node, *m_peer_network, m_store_client,
--- a/src/programs/kingcupslip.cpp
+++ b/src/programs/kingcupslip.cpp
@@ -7,6 +7,7 @@
 #include "kingcupslip/version.hpp"
 
 #include <CLI/CLI.hpp>
+#include <cpprest/uri_builder.h>
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
@@ -44,6 +45,8 @@
   std::string if_match;
   std::string file;
   std::string name;
+  std::string team;
+  std::string host;
   std::vector<std::string> log_files;
   exit_code code = exit_code::success;
 
@@ -80,6 +83,16 @@
                    fields_as_table);
   }
 
+  void preview_route() {
+    web::uri_builder query("/route");
+    query.append_query("host", host);
+    query.append_query("path", name);
+    if (!team.empty()) {
+      query.append_query("team", team);
+    }
+    get(query.to_string(), route_as_table);
+  }
+
   void explain_request() {
     request_explainer e(name);
     for (const std::string& it : log_files) {
@@ -234,6 +247,16 @@
       [&p] { p.explain_request(); });
   explain->add_option("ID", p.name, "the request's id")->required();
   explain->add_option("FILE", p.log_files, "logs; standard input if none");
+  CLI::App* route = add_command(
+      app, "route",
+      "where a request would go now, and why, without sending it; --url is the "
+      "metrics address of the node that it would enter through",
+      "kingcupslip --url http://10.0.0.7:7015 route --team team-a "
+      "--host shop.example /orders/7",
+      [&p] { p.preview_route(); });
+  route->add_option("PATH", p.name, "the request's path")->required();
+  route->add_option("--host", p.host, "its host")->required();
+  route->add_option("--team", p.team, "its team; none without a key");
   add_command(
       app, "status", "members with their state and configuration sequence",
       "kingcupslip status", [&p] { p.get("/v1/status", status_as_table); });
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -59,6 +59,7 @@
     def __init__(self, name, ports, store_port, service="svc"):
         self.name = name
         self.callers, self.ready, self.control = ports[:3]
+        self.metrics = ports[4]
         self.endpoint = platform_standin.Endpoint(ports[5], service,
                                                   f"i-{name}")
         self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
@@ -484,6 +485,28 @@
         # One after the other they take 1.6 s.
         yield "side by side", took < 0.8
 
+    def route_preview(self):
+        """The operators' program asks where a request would go."""
+        def ask(*arguments):
+            result = subprocess.run(
+                [str(ADAPTER.parent / "kingcupslip"), "--url",
+                 f"http://127.0.0.1:{self.nodes[0].metrics}", "--output",
+                 "json", "route", *arguments], capture_output=True, text=True,
+                check=False)
+            return result.returncode, json.loads(
+                result.stdout or result.stderr)
+        before = len(self.requests_seen())
+        code, preview = ask("--team", "tenant-a", "--host", "h.example",
+                            "/safe/a?b=c&d")
+        yield "exit", code
+        yield "route", (preview["route"], preview["refused_for"])
+        yield "targets", sorted((t["node"], t["left_out"]) for t in
+                                preview["services"][0]["targets"])
+        yield "unknown team", ask("--team", "nobody", "--host", "h.example",
+                                  "/safe/a")
+        yield "unknown path", ask("--host", "h.example", "/nowhere")
+        yield "sent", len(self.requests_seen()) - before
+
     def roll_out(self):
         """The operator moves the traffic to another version, which is good,
         and then to one that is bad."""
@@ -846,7 +869,8 @@
                         self.repeated_refusals, self.promising_statuses,
                         self.target_notices, self.endless_answers,
                         self.cut_answers, self.check_ins, self.foreign_bytes,
-                        self.endless_bytes, self.pipelines, self.roll_out,
+                        self.endless_bytes, self.pipelines, self.route_preview,
+                        self.roll_out,
                         self.reload, self.changes, self.outage,
                         self.restored_store, self.foreign_rows,
                         self.graceful_stop, self.stop_with_requests,
