Soak: callers that send requests in pipelines

Change: one client a node sends two to six idempotent requests before the first is answered and checks that the answers come in order; what was sent behind an answer that closed the connection and did not run counts as not read. The nodes run with pipelines and adaptive locality.

--- a/tests/soak/run_soak.py
+++ b/tests/soak/run_soak.py
@@ -134,7 +134,8 @@
             "announcements": f"{host}:{control}", "peers": f"{host}:{peers}",
             "metrics": f"{host}:{metrics}",
             "store": f"{host}:{soak.store_link.port}",
-            "fleet_secret": "secret-of-the-fleet-x"}
+            "fleet_secret": "secret-of-the-fleet-x",
+            "pipelined_requests": 8, "locality": "adaptive"}
         self.requests = []
         self.stops = []  # times of SIGTERM
         self.kills = []
@@ -413,6 +414,9 @@
                 pick((i + k) % len(CLIENT_KINDS) / len(CLIENT_KINDS),
                      CLIENT_KINDS), scale).run())
                 for k, n in enumerate(self.nodes) for i in range(per_node)]
+            clients += [self.spawn(Client(self, n, f"{n.name}.pipeline",
+                                          "pipeline", scale).run())
+                        for n in self.nodes]
             self.began = time.monotonic()
             await asyncio.gather(*map(self.apply, make_schedule(
                 self.seed, seconds, len(self.nodes))))
@@ -509,6 +513,9 @@
             return "excused_reader" if r.answer_began_at else "LOST"
         if r.ended_at >= r.sent_at + DEADLINE_SECONDS:
             return "expired"
+        if not runs and r.behind:
+            # Not read: an answer before it closed the connection.
+            return "crossed"
         if not runs and (r.all_sent_at is None or r.ended_at <= r.all_sent_at
                          + LOSS_SLACK_SECONDS + self.lateness(
                              r.all_sent_at, r.ended_at, node)):
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -23,6 +23,7 @@
     def __init__(self, request_id, idempotent):
         self.id = request_id
         self.idempotent = idempotent
+        self.behind = False  # another one that was not answered yet
         self.sent_at = time.monotonic()
         self.all_sent_at = None
         self.status = None
@@ -111,8 +112,10 @@
             except OSError:
                 await asyncio.sleep(RECONNECT_SECONDS)
                 continue
+            send = (self.send_pipeline if self.kind == "pipeline"
+                    else self.send)
             while not self.soak.ending and not connection.closed:
-                await self.send(connection)
+                await send(connection)
                 await asyncio.sleep(self.think_time())
             connection.transport.abort()
 
@@ -144,7 +147,7 @@
         """Returns a request, its head and the pieces of its body."""
         choose = self.random
         self.count += 1
-        idempotent = choose.random() < 0.5
+        idempotent = choose.random() < 0.5 or self.kind == "pipeline"
         r = Request(f"s{self.soak.seed}-{self.name}-{self.count}", idempotent)
         run_ms = choose.choice((1, 1, 5, 20, 20, 50, 100, 300))
         if self.kind == "long":
@@ -193,6 +196,33 @@
         if r.status is None and connection.closed and not r.gave_up:
             r.ended_at = connection.closed_at
 
+    async def send_pipeline(self, connection):
+        """Sends requests before the first is answered; the answers come in
+        their order."""
+        batch = [self.next_request() for _ in range(self.random.randint(2, 6))]
+        if connection.buffer:
+            self.soak.report("MIXED", batch[0][0].id,
+                             "bytes before this request")
+        connection.buffer.clear()
+        connection.first_byte_at = None
+        for i, (r, _, _) in enumerate(batch):
+            r.behind = i > 0
+            self.node.requests.append(r)
+        sent = await connection.write(b"".join(h + b for _, h, b in batch))
+        sent_at = time.monotonic() if sent else None
+        for r, _, _ in batch:
+            r.all_sent_at = sent_at
+        for r, _, _ in batch:
+            try:
+                await self.read_answer(r, connection)
+            except asyncio.TimeoutError:
+                r.gave_up = True
+                r.answer_began_at = connection.first_byte_at
+                connection.transport.abort()
+            r.ended_at = time.monotonic()
+            if r.status is None and connection.closed and not r.gave_up:
+                r.ended_at = connection.closed_at
+
     async def read_answer(self, r, connection):
         buffer = connection.buffer
         deadline = time.monotonic() + PATIENCE_SECONDS
