--- a/src/kingcupslip/core/downstream_limit.cpp
+++ b/src/kingcupslip/core/downstream_limit.cpp
@@ -27,14 +27,10 @@
 /// A limit above this multiple of the admitted rate is removed.
 constexpr double removal_headroom_factor = 2;
 constexpr double burst_s = 0.2;
-/// From this pressure on requests wait below for more than half of the time
-/// that they run, and will be refused next.
-constexpr double short_pressure = 1.6;
-/// Up to this one there is room for all of the growth.
-constexpr double free_pressure = 0.75;
-constexpr double full_pressure = 0.95;
-/// By one window, for pressure alone.
-constexpr double min_pressure_cut_factor = 0.8;
+/// Up to this pressure the services below have room for all of the growth.
+constexpr double free_pressure = 0.85;
+/// Growth by one good window up to that pressure.
+constexpr double free_growth_factor = 2;
 
 } // namespace
 
@@ -113,7 +109,6 @@
   state.ended = 0;
   state.failed = 0;
   if (failed_fraction > max_failed_fraction) {
-    state.has_failed = true;
     ++state.consecutive_failing_windows;
     if (state.consecutive_failing_windows >=
         policy.failing_windows_before_cut) {
@@ -124,13 +119,6 @@
     return;
   }
   state.consecutive_failing_windows = 0;
-  const bool gives_way_first = policy.failing_windows_before_cut == 1;
-  if (state.has_failed && gives_way_first && m_pressure > short_pressure) {
-    cut(route, state, admitted_per_s,
-        std::max(min_pressure_cut_factor, 1 / m_pressure), failed_fraction,
-        now);
-    return;
-  }
   if (state.rate_per_s == 0) {
     return;
   }
@@ -156,18 +144,13 @@
 
 double downstream_limit::growth(const route_state& state,
                                 const priority_policy& policy) const {
+  const bool has_room = m_pressure > 0 && m_pressure <= free_pressure;
   const bool near_failure =
       state.rate_per_s > state.failing_rate_per_s * careful_range_low &&
       state.rate_per_s < state.failing_rate_per_s * careful_range_high;
-  const double careful =
-      near_failure ? policy.careful_growth_factor : fast_growth_factor;
-  if (m_pressure <= 0) {
-    return careful;
-  }
-  if (m_pressure >= full_pressure) {
-    return std::min(careful, policy.careful_growth_factor);
-  }
-  return m_pressure <= free_pressure ? fast_growth_factor : careful;
+  return has_room       ? free_growth_factor
+         : near_failure ? policy.careful_growth_factor
+                        : fast_growth_factor;
 }
 
 void downstream_limit::set_rate(route_state& state, double rate_per_s,
--- a/src/kingcupslip/core/downstream_limit.hpp
+++ b/src/kingcupslip/core/downstream_limit.hpp
@@ -21,9 +21,8 @@
 /// are cut at once, those of higher priority only after several failing
 /// windows in a row.
 ///
-/// A route whose calls were refused before is limited by the pressure below it
-/// alone, before its calls are refused again, and its rate grows as far as the
-/// pressure leaves room.
+/// The rate grows fast as long as the pressure on the services below says that
+/// they have room.
 ///
 /// Invariant: a route without such failures has no limit.
 class downstream_limit {
@@ -60,7 +59,6 @@
     std::size_t ended = 0;
     std::size_t failed = 0;
     std::size_t consecutive_failing_windows = 0;
-    bool has_failed = false;       ///< its calls were refused before
     double rate_per_s = 0;         ///< 0: not limited
     double failing_rate_per_s = 0; ///< rate of the last failing window
     token_bucket bucket;
--- a/tests/core/reply_codec_test.cpp
+++ b/tests/core/reply_codec_test.cpp
@@ -21,8 +21,8 @@
 };
 // clang-format on
 
-// Guards against MIXED: a reply without a status, or with one that HTTP does not
-// have, was passed on to the caller as an answer with status 000.
+// Guards against MIXED: a reply without a status, or with one that HTTP does
+// not have, was passed on to the caller as an answer with status 000.
 TEST(reply_codec, an_answer_without_a_status_of_http_is_no_answer) {
   for (const std::uint16_t status : {0, 99, 100, 199, 600, 999}) {
     wire::replyT reply = answer_with(status);
