--- a/src/kingcupslip/core/rollout_exposure.cpp
+++ b/src/kingcupslip/core/rollout_exposure.cpp
@@ -29,6 +29,7 @@
     return;
   }
   std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  ranked.reserve(new_targets.size());
   for (const std::pair<const std::string, double>& it : new_targets) {
     ranked.emplace_back(placement_hash(std::to_string(order) + "@" + it.first),
                         it.first);
--- a/src/kingcupslip/core/rollouts.cpp
+++ b/src/kingcupslip/core/rollouts.cpp
@@ -87,7 +87,9 @@
   m_updated_at = m_clock.now;
   for (std::pair<const std::string, progress>& it : m_by_service) {
     progress& p = it.second;
-    update_exposure(p);
+    if (p.phase == rollout_phase::testing) {
+      update_exposure(p);
+    }
     update_decider(p);
     const bool is_final_phase = p.phase && is_final(*p.phase);
     if (!is_final_phase && is_local_service(p) &&
