--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -186,15 +186,7 @@
             head, body = b"", body[-1:]
         sent = await connection.write(head + body)
         r.all_sent_at = time.monotonic() if sent else None
-        try:
-            await self.read_answer(r, connection)
-        except asyncio.TimeoutError:
-            r.gave_up = True
-            r.answer_began_at = connection.first_byte_at
-            connection.transport.abort()
-        r.ended_at = time.monotonic()
-        if r.status is None and connection.closed and not r.gave_up:
-            r.ended_at = connection.closed_at
+        await self.await_answer(r, connection)
 
     async def send_pipeline(self, connection):
         """Sends requests before the first is answered; the answers come in
@@ -213,15 +205,19 @@
         for r, _, _ in batch:
             r.all_sent_at = sent_at
         for r, _, _ in batch:
-            try:
-                await self.read_answer(r, connection)
-            except asyncio.TimeoutError:
-                r.gave_up = True
-                r.answer_began_at = connection.first_byte_at
-                connection.transport.abort()
-            r.ended_at = time.monotonic()
-            if r.status is None and connection.closed and not r.gave_up:
-                r.ended_at = connection.closed_at
+            await self.await_answer(r, connection)
+
+    async def await_answer(self, r, connection):
+        """Reads an answer, or records why there is none."""
+        try:
+            await self.read_answer(r, connection)
+        except asyncio.TimeoutError:
+            r.gave_up = True
+            r.answer_began_at = connection.first_byte_at
+            connection.transport.abort()
+        r.ended_at = time.monotonic()
+        if r.status is None and connection.closed and not r.gave_up:
+            r.ended_at = connection.closed_at
 
     async def read_answer(self, r, connection):
         buffer = connection.buffer
