--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -23,18 +24,24 @@
 HOST = "orders.example"
 KEY = "key-of-tenant-a"
 BEAT_SECONDS = 1.5
+_given = set()
 
 
 def free_ports(count):
-    """Returns ports that nobody listens on."""
-    sockets = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind((LOCAL, 0))
-        sockets.append(s)
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Returns ports that nobody listens on, each only once. They lie below
+    those that the kernel gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12_000, 32_000)
+        if port in _given:
+            continue
+        with socket.socket() as s:
+            try:
+                s.bind((LOCAL, port))
+            except OSError:
+                continue
+        _given.add(port)
+        ports.append(port)
     return ports
 
 
