--- a/src/kingcupslip/core/departed_instances.cpp
+++ b/src/kingcupslip/core/departed_instances.cpp
@@ -2,6 +2,7 @@
 #include "kingcupslip/core/departed_instances.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace kingcupslip {
 
@@ -9,32 +10,51 @@
 
 constexpr std::size_t max_departures = 64;
 
+/// Of two departures of a name, the greater one covers more announcements.
+std::tuple<std::uint64_t, std::uint64_t> coverage_of(const departure& d) {
+  return {d.start_time_ms, d.last_sequence};
+}
+
 } // namespace
 
-void departed_instances::add(const std::string& instance,
-                             std::uint64_t start_time_ms, bool announced) {
-  departure added{instance, start_time_ms, announced};
+bool operator==(const departure& a, const departure& b) {
+  return a.instance == b.instance && coverage_of(a) == coverage_of(b) &&
+         a.left_at == b.left_at && a.announced == b.announced;
+}
+
+void departed_instances::add(const departure& d) {
   const auto it = std::find_if(
       m_departures.begin(), m_departures.end(),
-      [&instance](const departure& d) { return d.instance == instance; });
+      [&d](const departure& known) { return known.instance == d.instance; });
+  departure added = d;
   if (it != m_departures.end()) {
-    added.start_time_ms = std::max(added.start_time_ms, it->start_time_ms);
+    if (coverage_of(d) <= coverage_of(*it)) {
+      it->announced |= d.announced;
+      return;
+    }
     added.announced |= it->announced;
     m_departures.erase(it);
   }
   m_departures.push_back(added);
+  ++m_revision;
   if (m_departures.size() > max_departures) {
     forget_one();
   }
 }
 
 bool departed_instances::contains(const std::string& instance,
-                                  std::uint64_t start_time_ms) const {
-  return std::any_of(m_departures.begin(), m_departures.end(),
-                     [&instance, start_time_ms](const departure& d) {
-                       return d.instance == instance &&
-                              start_time_ms <= d.start_time_ms;
-                     });
+                                  std::uint64_t start_time_ms,
+                                  std::uint64_t sequence) const {
+  return std::any_of(
+      m_departures.begin(), m_departures.end(),
+      [&instance, start_time_ms, sequence](const departure& d) {
+        const bool covers_sequence =
+            d.last_sequence == every_sequence ||
+            (sequence != 0 && sequence <= d.last_sequence);
+        return d.instance == instance &&
+               (start_time_ms < d.start_time_ms ||
+                (start_time_ms == d.start_time_ms && covers_sequence));
+      });
 }
 
 void departed_instances::forget_one() {
--- a/src/kingcupslip/core/fleet_agent.cpp
+++ b/src/kingcupslip/core/fleet_agent.cpp
@@ -70,7 +70,7 @@
                                  m_dependencies.log,
                                  nullptr,
                                  nullptr};
-  out.fill_gossip = [this](wire::gossipT& g) {
+  out.fill_gossip = [this](const std::string&, wire::gossipT& g) {
     g.config_sequence = m_dependencies.config.sequence();
     g.config_age_ms = static_cast<std::uint32_t>(std::min<std::int64_t>(
         m_dependencies.sync.age(m_clock.now) / std::chrono::milliseconds(1),
--- a/src/kingcupslip/core/gossip_agent.cpp
+++ b/src/kingcupslip/core/gossip_agent.cpp
@@ -195,7 +195,7 @@
     g.known_notice =
         std::make_unique<wire::target_noticeT>(*receiver->target_notice);
   }
-  m_dependencies.fill_gossip(g);
+  m_dependencies.fill_gossip(node, g);
   g.member_digest = m_dependencies.members.digest();
   g.answer_wanted = answer_wanted;
   wire::payloadUnion body;
@@ -291,8 +291,7 @@
 void gossip_agent::set_departure(const wire::target_noticeT& n) {
   const std::unique_ptr<wire::target_noticeT>& known =
       m_dependencies.members.self().info.departure;
-  if (known && known->instance == n.instance &&
-      known->start_time_ms == n.start_time_ms) {
+  if (known && same_departure(*known, n)) {
     return;
   }
   m_dependencies.members.update_self(
--- a/src/kingcupslip/core/gossip_agent.hpp
+++ b/src/kingcupslip/core/gossip_agent.hpp
@@ -30,7 +30,7 @@
     member_table::random_source random;
     event_sink log;
     /// Adds the fields that the owner of this object sends with every gossip.
-    std::function<void(wire::gossipT&)> fill_gossip;
+    std::function<void(const std::string& to, wire::gossipT&)> fill_gossip;
     /// Receives those fields of a peer's gossip.
     std::function<void(const std::string& from, const wire::gossipT&)>
         on_peer_gossip;
@@ -52,8 +52,8 @@
   /// Announces the version of its software.
   void set_version(const std::string& version);
 
-  /// Announces that an instance of this node's target leaves, so that the other
-  /// members remember it when this process restarts.
+  /// Announces that an instance of this node's target leaves or drains, so that
+  /// the other members remember it when this process restarts.
   void set_departure(const wire::target_noticeT& n);
 
   /// The table was restored from an older copy, which may lack this node's row:
@@ -63,6 +63,9 @@
   /// Gossips a crash of this node's target at once.
   void on_crash_recorded();
 
+  /// Asks a node, which need not be a known member, for its news.
+  void ask(const std::string& node) { gossip_to(node, true, 0); }
+
   /// Gossips immediately to up to `max_count` random members.
   void gossip_to_random(std::size_t max_count);
 
--- a/src/kingcupslip/core/member_table.cpp
+++ b/src/kingcupslip/core/member_table.cpp
@@ -40,10 +40,7 @@
 void set_info(member& m, const wire::memberT& update) {
   const std::unique_ptr<wire::target_noticeT>& known = m.info.departure;
   const std::unique_ptr<wire::target_noticeT>& departure = update.departure;
-  const bool is_new =
-      departure && (!known || known->instance != departure->instance ||
-                    known->start_time_ms != departure->start_time_ms);
-  if (is_new) {
+  if (departure && (!known || !same_departure(*known, *departure))) {
     m.target_notice = *departure;
   }
   m.info = update;
@@ -60,6 +57,12 @@
 
 } // namespace
 
+bool same_departure(const wire::target_noticeT& a,
+                    const wire::target_noticeT& b) {
+  return a.instance == b.instance && a.start_time_ms == b.start_time_ms &&
+         a.leaving == b.leaving && a.draining_sequence == b.draining_sequence;
+}
+
 std::string_view name_of(member_state s) {
   constexpr std::array<std::string_view, 4> names{"alive", "suspect", "dead",
                                                   "left"};
--- a/src/kingcupslip/core/member_table.hpp
+++ b/src/kingcupslip/core/member_table.hpp
@@ -21,6 +21,10 @@
 
 std::string_view name_of(member_state s);
 
+/// Whether both state the same departure of the same instance.
+bool same_departure(const wire::target_noticeT& a,
+                    const wire::target_noticeT& b);
+
 /// What this node knows about one member. The load fields in `info` come with
 /// the member's replies; they are neither compared nor gossiped as updates.
 struct member {
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -23,6 +23,9 @@
 /// Time left of the drain limit at which the process exits even if answers are
 /// still being written.
 constexpr duration hard_exit_margin = std::chrono::milliseconds(250);
+/// Between two questions to other nodes for the departures of this node's
+/// target.
+constexpr duration ask_interval = std::chrono::milliseconds(100);
 /// A retry repeats its nested calls, which also count as retries: one level per
 /// service on the path.
 constexpr double retry_levels = 4;
@@ -48,13 +51,17 @@
       m_members(m_options.self, m_hooks.random),
       m_gossip({m_options.self, m_members, m_quarantine, m_hooks.table,
                 m_hooks.send, m_hooks.random, m_hooks.log,
-                [this](wire::gossipT& g) {
+                [this](const std::string& to, wire::gossipT& g) {
                   m_state.fill_gossip(g);
                   m_rollouts.fill_gossip(g);
+                  fill_departure(to, g);
                 },
                 [this](const std::string& from, const wire::gossipT& g) {
                   m_state.on_gossip(from, g);
                   m_rollouts.on_gossip(g);
+                  if (g.departures_known) {
+                    m_departures.on_confirmed_by_peer(from);
+                  }
                 }},
                m_clock),
       m_crash_records({m_hooks.table, m_quarantine, m_members, m_hooks.log},
@@ -64,6 +71,13 @@
       m_calls(m_hooks.random() & correlation_prefix_mask),
       m_local_target(target_options_for(m_options, m_hooks.protocol),
                      m_hooks.target, m_clock, m_quarantine),
+      m_departures({m_options.self, m_hooks.table, m_local_target.departed(),
+                    [this] {
+                      return m_members.preferred("departure-sweeper") ==
+                             m_options.self.node;
+                    },
+                    [this] { on_departures_learned(); }, m_hooks.log},
+                   m_clock),
       m_rollouts({m_options.rollout_share},
                  {m_members, m_local_target, m_hooks.table, m_hooks.send,
                   m_hooks.random, m_hooks.log,
@@ -99,6 +113,7 @@
   m_state.set_on_store_restored([this] {
     m_gossip.on_table_restored();
     m_crash_records.on_table_restored();
+    m_departures.on_table_restored();
   });
   m_quarantine.set_on_record([this](const crash_record& r) {
     m_crash_records.write(r);
@@ -111,6 +126,7 @@
   m_quarantine.set_on_shrink(
       [this](const crash_record& r) { m_crash_records.on_shrink(r); });
   m_local_target.set_cold_start(std::nullopt);
+  m_local_target.set_departures_known(false);
   if (m_options.rollout_share > 0) {
     connect_rollouts();
   }
@@ -133,6 +149,7 @@
 void routed_node::tick() {
   m_gossip.tick();
   m_crash_records.tick();
+  m_departures.tick();
   m_state.tick();
   update_retry_budget();
   m_quota.tick(m_clock.now);
@@ -156,6 +173,10 @@
 
 void routed_node::on_message(const std::string& from,
                              wire::payloadUnion& body) {
+  if (!m_departures.known() && m_clock.now >= m_next_ask_at) {
+    m_next_ask_at = m_clock.now + ask_interval;
+    m_gossip.ask(from);
+  }
   switch (body.type) {
   case wire::payload::call:
     if (m_state.routes() == nullptr) {
@@ -226,19 +247,38 @@
   m_local_target.on_result(run, std::move(result));
 }
 
-bool routed_node::on_target_announce(const target_announcement& a) {
+bool routed_node::on_target_announce(const target_announcement& a,
+                                     const announcement_handler& handler) {
   if (!is_local_target(a)) {
     m_hooks.log(event_id::announcement_ignored,
                 {{"instance", a.instance},
                  {"service", a.service},
                  {"data_centre", a.data_centre}});
+    if (handler) {
+      handler(announcement_result::not_local);
+    }
     return false;
   }
   m_local_target.on_announce(a);
   update_target_state();
+  if (a.draining) {
+    answer_when_recorded(handler);
+  } else if (handler) {
+    handler(announcement_result::acknowledged);
+  }
   return true;
 }
 
+void routed_node::answer_when_recorded(const announcement_handler& handler) {
+  if (!handler) {
+    return;
+  }
+  m_departures.when_recorded([handler](bool recorded) {
+    handler(recorded ? announcement_result::acknowledged
+                     : announcement_result::not_recorded);
+  });
+}
+
 bool routed_node::is_local_target(const target_announcement& a) const {
   const node_identity& self = m_options.self;
   const bool same_service = a.service.empty() || a.service == self.service;
@@ -248,11 +288,31 @@
 }
 
 void routed_node::on_target_leave(const std::string& instance,
-                                  std::uint64_t start_time_ms) {
-  m_local_target.on_deregister(instance, start_time_ms);
+                                  std::uint64_t start_time_ms,
+                                  const announcement_handler& handler) {
+  if (m_local_target.on_deregister(instance, start_time_ms)) {
+    update_target_state();
+    answer_when_recorded(handler);
+  } else if (handler) {
+    handler(announcement_result::not_local);
+  }
+}
+
+void routed_node::on_departures_learned() {
+  m_local_target.set_departures_known(m_departures.known());
+  m_local_target.check_departed();
   update_target_state();
 }
 
+void routed_node::fill_departure(const std::string& to,
+                                 wire::gossipT& g) const {
+  const wire::target_noticeT* in_table = m_departures.notice_of(to);
+  if (!g.known_notice && in_table != nullptr) {
+    g.known_notice = std::make_unique<wire::target_noticeT>(*in_table);
+  }
+  g.departures_known = m_departures.read();
+}
+
 void routed_node::set_options(const routed_options& o) {
   node_identity self = m_options.self;
   self.service = o.self.service;
@@ -329,7 +389,8 @@
   }
   m_gossip.set_ready(m_local_target.ready(),
                      static_cast<double>(m_local_target.capacity()));
-  if (m_local_target.notices().leaving()) {
+  const target_notice& notice = m_local_target.notices().current();
+  if (notice.leaving || notice.draining_sequence != 0) {
     m_gossip.set_departure(*m_local_target.notices().to_report());
   }
 }
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -4,6 +4,7 @@
 #define KINGCUPSLIP_CORE_ROUTED_NODE_HPP
 
 #include "kingcupslip/core/crash_record_store.hpp"
+#include "kingcupslip/core/departure_store.hpp"
 #include "kingcupslip/core/gossip_agent.hpp"
 #include "kingcupslip/core/incoming_calls.hpp"
 #include "kingcupslip/core/lost_runs.hpp"
@@ -45,6 +46,13 @@
   duration drain_limit = std::chrono::seconds(6);
 };
 
+/// What a node answers to an announcement of its target.
+enum class announcement_result : std::uint8_t {
+  acknowledged,
+  not_local,   ///< it is not of the target beside this node; nothing changed
+  not_recorded ///< it counts, but another process may not learn of it
+};
+
 /// Owns the components of a node that routes by host and path, and routes
 /// messages and events to them.
 ///
@@ -74,11 +82,17 @@
   void on_peer_unresponsive(const std::string& peer, bool unresponsive);
 
   void on_target_result(std::uint64_t run, target_result result);
-  /// Returns whether the announcement is of the target beside this node.
-  /// Another one changes nothing.
-  bool on_target_announce(const target_announcement& a);
-  void on_target_leave(const std::string& instance,
-                       std::uint64_t start_time_ms);
+  using announcement_handler = std::function<void(announcement_result)>;
+
+  /// Handles an announcement of the target beside this node; another one
+  /// changes nothing. Returns whether it was of that target. `handler`, which
+  /// may be null, is called once: for a target that drains when that is in the
+  /// table, or could not be written in time, else before this function returns.
+  bool on_target_announce(const target_announcement& a,
+                          const announcement_handler& handler = nullptr);
+  /// Handles the goodbye of an instance; `handler` as for one that drains.
+  void on_target_leave(const std::string& instance, std::uint64_t start_time_ms,
+                       const announcement_handler& handler = nullptr);
 
   /// Whether the announcement names the service and the data centre that the
   /// settings give the target beside this node. Others come from another
@@ -122,6 +136,10 @@
   void update_target_state();
   /// Null before the first routes.
   std::optional<cold_start_settings> target_cold_start() const;
+  /// Adds to the gossip for a node what this one knows of that node's target.
+  void fill_departure(const std::string& to, wire::gossipT& g) const;
+  void on_departures_learned();
+  void answer_when_recorded(const announcement_handler& handler);
   void tick_drain();
   void update_retry_budget();
 
@@ -135,6 +153,7 @@
   desired_state m_state;
   pending_calls m_calls;
   target_stage m_local_target;
+  departure_store m_departures;
   rollouts m_rollouts;
   dispatcher m_dispatcher;
   lost_runs m_lost_runs;
@@ -142,6 +161,7 @@
   routed_entry m_entry;
   incoming_calls m_incoming_calls;
   std::size_t m_fleet_size = 0;
+  instant m_next_ask_at{0};
   instant m_drain_started_at{0};
   instant m_leave_started_at{0};
   bool m_out_of_service = false;
--- a/src/kingcupslip/core/target_notices.cpp
+++ b/src/kingcupslip/core/target_notices.cpp
@@ -1,6 +1,7 @@
 // Notices from answers and from other nodes.
 #include "kingcupslip/core/target_notices.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace kingcupslip {
@@ -48,6 +49,8 @@
   }
   target_notice reported = m_notice;
   reported.leaving |= n.leaving;
+  reported.draining_sequence =
+      std::max(reported.draining_sequence, n.draining_sequence);
   if (!m_answered && n.rate_limit_per_s >= 0) {
     reported.rate_limit_per_s = n.rate_limit_per_s;
   }
@@ -64,6 +67,7 @@
   out->start_time_ms = m_start_time_ms;
   out->rate_limit_per_s = m_notice.rate_limit_per_s.value_or(-1);
   out->leaving = m_notice.leaving;
+  out->draining_sequence = m_notice.draining_sequence;
   return out;
 }
 
@@ -82,6 +86,8 @@
   }
   // An instance that leaves does not return.
   n.leaving |= m_notice.leaving;
+  n.draining_sequence =
+      std::max(n.draining_sequence, m_notice.draining_sequence);
   m_notice = n;
   m_rate_limit.set(m_notice.rate_limit_per_s, now);
 }
--- a/src/kingcupslip/core/target_notices.hpp
+++ b/src/kingcupslip/core/target_notices.hpp
@@ -22,8 +22,13 @@
   bool rate_limit_unreadable = false;
   /// It is about to end and must get no new requests.
   bool leaving = false;
+  /// The announcement in which it said that it drains; 0: none. A later one may
+  /// report it in service again.
+  std::uint64_t draining_sequence = 0;
 
-  bool empty() const { return !rate_limit_per_s && !leaving; }
+  bool empty() const {
+    return !rate_limit_per_s && !leaving && draining_sequence == 0;
+  }
 };
 
 /// Keeps the notice of the target's current instance, from its answers, its
@@ -45,6 +50,11 @@
   void on_answer(const std::optional<target_notice>& stated,
                  const std::string& request_id, instant now);
 
+  /// The current instance has announced that it drains.
+  void on_draining(std::uint64_t sequence) {
+    m_notice.draining_sequence = sequence;
+  }
+
   /// The current instance has deregistered.
   void on_goodbye(instant now);
 
@@ -65,7 +75,8 @@
   const target_rate_limit& rate_limit() const { return m_rate_limit; }
 
 private:
-  /// `source` is for the log: the request that was answered, or "peer".
+  /// Whatever `n` says, an instance that has departed stays so. `source` is for
+  /// the log: the request that was answered, or "peer".
   void apply(target_notice n, const std::string& source, instant now);
 
   event_sink m_log;
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -178,11 +178,17 @@
 }
 
 void target_stage::on_announce(const target_announcement& a) {
-  if (!is_credible_start(a.instance, a.start_time_ms) || is_outdated(a)) {
+  if (!is_credible_start(a.instance, a.start_time_ms)) {
+    return;
+  }
+  if (is_outdated(a)) {
+    add_draining(a);
     return;
   }
   const bool new_instance =
       a.instance != m_instance || a.start_time_ms != m_start_time_ms;
+  const bool begins_to_drain =
+      a.draining && (new_instance || !m_target_draining);
   if (new_instance) {
     if (m_target_draining) {
       m_crash_detector.on_planned_end();
@@ -200,6 +206,10 @@
   m_start_time_ms = a.start_time_ms;
   m_sequence = a.sequence;
   m_announced_at = m_clock.now;
+  if (begins_to_drain) {
+    add_draining(a);
+    m_notices.on_draining(a.sequence);
+  }
   // Its heartbeats may still report a target in service.
   m_target_draining = a.draining || m_notices.leaving();
   m_max_concurrency = a.max_concurrency;
@@ -231,10 +241,10 @@
   }
 }
 
-void target_stage::on_deregister(const std::string& instance,
+bool target_stage::on_deregister(const std::string& instance,
                                  std::uint64_t start_time_ms) {
   if (!is_credible_start(instance, start_time_ms)) {
-    return;
+    return false;
   }
   const bool start_time_known = start_time_ms != 0;
   const bool is_current_instance = instance == m_instance;
@@ -245,7 +255,7 @@
       start_time_known      ? start_time_ms
       : is_current_instance ? m_start_time_ms
                             : static_cast<std::uint64_t>(m_clock.wall.count());
-  m_departed.add(instance, left_start_time_ms, is_current_instance);
+  add_departure(instance, left_start_time_ms, every_sequence);
   if (instance == m_instance &&
       (!start_time_known || start_time_ms == m_start_time_ms)) {
     m_target_draining = true;
@@ -257,6 +267,36 @@
     m_notices.on_new_instance(instance, left_start_time_ms, m_clock.now);
     m_notices.on_goodbye(m_clock.now);
   }
+  return true;
+}
+
+void target_stage::add_departure(const std::string& instance,
+                                 std::uint64_t start_time_ms,
+                                 std::uint64_t last_sequence) {
+  m_departed.add({instance, start_time_ms, last_sequence, m_clock.wall,
+                  instance == m_instance});
+}
+
+void target_stage::add_draining(const target_announcement& a) {
+  // Without a number no announcement that was sent before can be recognized.
+  if (a.draining && a.sequence != 0) {
+    add_departure(a.instance, a.start_time_ms, a.sequence);
+  }
+}
+
+void target_stage::check_departed() {
+  const bool departed =
+      !m_instance.empty() && !m_target_draining &&
+      m_departed.contains(m_instance, m_start_time_ms, m_sequence);
+  if (!departed) {
+    return;
+  }
+  m_target_draining = true;
+  if (m_departed.contains(m_instance, m_start_time_ms, every_sequence)) {
+    m_notices.on_goodbye(m_clock.now);
+  }
+  m_crash_detector.on_planned_end();
+  stop_sending();
 }
 
 bool target_stage::is_credible_start(const std::string& instance,
@@ -275,7 +315,8 @@
 bool target_stage::is_outdated(const target_announcement& a) const {
   const bool started_earlier =
       a.start_time_ms < m_start_time_ms && !m_instance_disproved;
-  if (m_departed.contains(a.instance, a.start_time_ms) || started_earlier) {
+  if (m_departed.contains(a.instance, a.start_time_ms, a.sequence) ||
+      started_earlier) {
     // Sent by an instance that has ended, and delayed in transit.
     return true;
   }
@@ -458,6 +499,9 @@
   if (!m_ready || request.service != m_options.service) {
     return reason::no_target;
   }
+  if (!m_departures_known) {
+    return reason::starting;
+  }
   if (deadline <= m_clock.now) {
     return reason::deadline;
   }
@@ -708,11 +752,20 @@
   m_notices.on_answer(m_options.protocol.notice_of(result), r.request_id,
                       m_clock.now);
   m_target_draining |= m_notices.leaving();
+  if (m_notices.leaving()) {
+    add_departure(m_instance, m_start_time_ms, every_sequence);
+  }
 }
 
 void target_stage::on_reported_notice(const wire::target_noticeT& n) {
+  const bool departed = n.leaving || n.draining_sequence != 0;
+  if (departed && is_credible_start(n.instance, n.start_time_ms)) {
+    add_departure(n.instance, n.start_time_ms,
+                  n.leaving ? every_sequence : n.draining_sequence);
+  }
   m_notices.on_reported(n, m_clock.now);
   m_target_draining |= m_notices.leaving();
+  check_departed();
 }
 
 outcome target_stage::make_outcome(const run& r, target_result result,
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -184,7 +184,8 @@
   /// Handles the end of an exchange that `target_hooks::run` has started.
   void on_result(std::uint64_t run, target_result result);
 
-  /// Handles an announcement of the target. Outdated ones are ignored.
+  /// Handles an announcement of the target. Outdated ones are ignored, but that
+  /// their instance drains is remembered.
   void on_announce(const target_announcement& a);
 
   /// Applies a change of the settings: the address belongs to a target of this
@@ -192,8 +193,18 @@
   void set_service(const std::string& service);
 
   /// Handles the deregistration of an instance of the target. It receives no
-  /// more requests until another instance announces itself.
-  void on_deregister(const std::string& instance, std::uint64_t start_time_ms);
+  /// more requests until another instance announces itself. Returns false if no
+  /// instance can have started at this time.
+  bool on_deregister(const std::string& instance, std::uint64_t start_time_ms);
+
+  /// Whether the departures of instances that earlier processes of this node
+  /// have acknowledged are known. Until then the target gets no requests: its
+  /// announcement may be a delayed one.
+  void set_departures_known(bool known) { m_departures_known = known; }
+  /// Stops sending requests to the current instance if it is among the departed
+  /// ones, which another process of this node may have added to.
+  void check_departed();
+  departed_instances& departed() { return m_departed; }
 
   /// Handles what another node remembers of the target's notices.
   void on_reported_notice(const wire::target_noticeT& n);
@@ -233,7 +244,8 @@
   bool accept_epoch(std::uint32_t slot, std::uint64_t epoch);
 
   bool ready() const {
-    return m_ready && !m_draining && !m_target_draining && !m_out_of_service;
+    return m_ready && m_departures_known && !m_draining && !m_target_draining &&
+           !m_out_of_service;
   }
   std::size_t in_flight() const { return m_runs.size(); }
   std::size_t queued() const { return m_queue.size(); }
@@ -347,6 +359,11 @@
   /// or before the process has to exit.
   void shed_unfinishable();
   bool is_outdated(const target_announcement& a) const;
+  /// Remembers that an instance gets no more requests, whatever its
+  /// announcements up to `last_sequence` report.
+  void add_departure(const std::string& instance, std::uint64_t start_time_ms,
+                     std::uint64_t last_sequence);
+  void add_draining(const target_announcement& a);
   /// Whether an instance can have started at this time.
   bool is_credible_start(const std::string& instance,
                          std::uint64_t start_time_ms) const;
@@ -384,6 +401,7 @@
   /// The target at the address has stated that it is not `m_instance`.
   bool m_instance_disproved = false;
   departed_instances m_departed;
+  bool m_departures_known = true;
   /// Counts the instances of the target. An answer of an earlier instance says
   /// nothing about the current one.
   std::uint64_t m_instance_number = 0;
--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -31,6 +31,20 @@
 /// A target that misses this many announcements is considered gone.
 constexpr int max_missed_announcements = 4;
 
+outcome announcement_response(announcement_result r) {
+  switch (r) {
+  case announcement_result::acknowledged:
+    return plain_response(http_status::ok, "application/json", "{}");
+  case announcement_result::not_local:
+    return plain_response(http_status::bad_request, "text/plain",
+                          "not the target of this node\n");
+  case announcement_result::not_recorded:
+    break;
+  }
+  return plain_response(http_status::unavailable, "text/plain",
+                        "not recorded yet\n");
+}
+
 } // namespace
 
 routed_daemon::routed_daemon(const routed_settings& settings,
@@ -226,23 +240,24 @@
                         "not readable\n"));
     return;
   }
+  const routed_node::announcement_handler answer =
+      [send](announcement_result r) { send(announcement_response(r)); };
   if (a->deregisters) {
-    refresh_clock().on_target_leave(a->target.instance,
-                                    a->target.start_time_ms);
-  } else if (!accept_announcement(a->target)) {
-    send(plain_response(http_status::bad_request, "text/plain",
-                        "not the target of this node\n"));
-    return;
+    refresh_clock().on_target_leave(a->target.instance, a->target.start_time_ms,
+                                    answer);
+  } else {
+    accept_announcement(a->target, answer);
   }
-  send(plain_response(http_status::ok, "application/json", "{}"));
 }
 
-bool routed_daemon::accept_announcement(const target_announcement& a) {
+void routed_daemon::accept_announcement(
+    const target_announcement& a,
+    const routed_node::announcement_handler& handler) {
   if (!m_node->is_local_target(a)) {
     // The address may have got a target of another service.
     reload_settings();
   }
-  return refresh_clock().on_target_announce(a);
+  refresh_clock().on_target_announce(a, handler);
 }
 
 void routed_daemon::tick() {
--- a/src/kingcupslip/daemon/routed_daemon.hpp
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -64,9 +64,9 @@
   bool may_overlap(const caller_request& request) const;
   void on_announcement(const caller_request& request,
                        const response_sender& send);
-  /// Returns whether the announcement is of the target beside this node, as
-  /// the present settings name it.
-  bool accept_announcement(const target_announcement& a);
+  /// Handles an announcement that is no goodbye, by the present settings.
+  void accept_announcement(const target_announcement& a,
+                           const routed_node::announcement_handler& handler);
   void tick();
   void wait_for_signal();
   /// Applies the settings that can change while the process runs: limits and
--- a/tests/core/foreign_announcement_test.cpp
+++ b/tests/core/foreign_announcement_test.cpp
@@ -112,6 +112,7 @@
   f.announcing = false;
   f.kill("a1");
   f.restart_node("a1");
+  f.run_for(milliseconds(100));
   target_announcement own = announcement_of("i", f.at("a1"));
   own.start_time_ms = 0;
   target_announcement successor = own;
--- a/tests/support/routed_fleet.cpp
+++ b/tests/support/routed_fleet.cpp
@@ -111,8 +111,11 @@
               rollout_statuses[it.status->service] = *it.status;
             }
           }
+          const bool answer_lost = lost_commits > 0;
+          lost_commits -= answer_lost ? 1 : 0;
+          const table_status seen = answer_lost ? table_status::unknown : s;
           run_in_node(name, generation,
-                      [handler, s, version] { handler(s, version); });
+                      [handler, seen, version] { handler(seen, version); });
         });
   };
   h.watch.read_all = [this, name, generation](const watch_handler& handler) {
--- a/tests/support/routed_fleet.hpp
+++ b/tests/support/routed_fleet.hpp
@@ -86,6 +86,7 @@
   table_store row_store;
   bool store_down = false;
   std::set<std::string> cut_off_nodes; ///< nodes that cannot reach the store
+  std::size_t lost_commits = 0;        ///< next commits whose answers are lost
   std::uint64_t timeline = 1;          ///< of the store
   std::uint64_t store_calls = 0;       ///< by all nodes
   std::uint64_t bytes_sent = 0;        ///< in frames between nodes
