--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::chrono::milliseconds tick_period{10};
 constexpr duration peer_check_period = std::chrono::milliseconds(100);
+/// For changes that take effect without a request, and those that the state of
+/// the file does not show.
 constexpr duration settings_check_period = std::chrono::seconds(5);
 /// Such a body fits into a frame between nodes together with its headers.
 constexpr std::size_t max_request_body_bytes = 8UL * 1024 * 1024;
@@ -49,9 +51,9 @@
 
 routed_daemon::routed_daemon(const routed_settings& settings,
                              routed_protocol protocol,
-                             settings_source read_settings)
+                             watched_file settings_file)
     : m_settings(settings), m_protocol(std::move(protocol)),
-      m_read_settings(std::move(read_settings)), m_timer(m_loop),
+      m_settings_file(std::move(settings_file)), m_timer(m_loop),
       m_signals(m_loop, SIGTERM, SIGINT, SIGHUP),
       m_log(make_event_log(settings.log, settings.node)),
       m_store_client(m_loop, to_endpoint(settings.store), nullptr,
@@ -200,6 +202,10 @@
 
 void routed_daemon::on_caller_request(caller_request request,
                                       const response_sender& send) {
+  if (m_settings_file.changed()) {
+    // The request names the service of this VM, which may be another now.
+    reload_settings();
+  }
   const std::chrono::milliseconds waited = request.waited;
   std::optional<routed_request> decoded =
       m_protocol.decode_request(std::move(request));
@@ -314,7 +320,7 @@
 }
 
 void routed_daemon::reload_settings() {
-  const std::optional<std::string> text = m_read_settings();
+  const std::optional<std::string> text = m_settings_file.read();
   if (!text) {
     m_log(event_id::settings_unreadable, {{"faults", "file cannot be read"}});
     return;
--- a/src/kingcupslip/daemon/routed_daemon.hpp
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -5,6 +5,7 @@
 #include "kingcupslip/core/routed_node.hpp"
 #include "kingcupslip/daemon/metrics.hpp"
 #include "kingcupslip/daemon/routed_settings.hpp"
+#include "kingcupslip/daemon/watched_file.hpp"
 #include "kingcupslip/net/http_client.hpp"
 #include "kingcupslip/net/http_server.hpp"
 #include "kingcupslip/net/peer_network.hpp"
@@ -45,12 +46,9 @@
 /// log.
 class routed_daemon {
 public:
-  /// Reads the text of the settings; null if it cannot be read.
-  using settings_source = std::function<std::optional<std::string>()>;
-
   /// Throws if it cannot listen on one of the addresses.
   routed_daemon(const routed_settings& settings, routed_protocol protocol,
-                settings_source read_settings);
+                watched_file settings_file);
   ~routed_daemon();
 
   /// Runs until a graceful shutdown, begun by SIGTERM or SIGINT, is complete.
@@ -80,7 +78,7 @@
 
   routed_settings m_settings;
   routed_protocol m_protocol;
-  settings_source m_read_settings;
+  watched_file m_settings_file;
   io_loop m_loop;
   boost::asio::steady_timer m_timer;
   boost::asio::signal_set m_signals;
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -825,6 +825,24 @@
         yield "faulty", self.wait(
             lambda: "settings_unreadable" in node.event_names())
         yield "still served", self.send("/safe/a")[0]
+        yield "callers after another service", self.named_callers("deudas")
+        yield "and after the first", self.named_callers("svc")
+
+    def named_callers(self, service):
+        """The settings of the first node name the service, without a signal;
+        returns the services that its callers' requests come from."""
+        node = self.nodes[0]
+        path = pathlib.Path(node.settings.name)
+        text = re.sub(r"^service: .*$", f"service: {service}",
+                      path.read_text().replace("no_such_key: 1\n", ""),
+                      flags=re.MULTILINE)
+        replaced = path.with_suffix(".new")
+        replaced.write_text(text)
+        replaced.replace(path)
+        for _ in range(20):
+            self.send("/safe/a")
+        return {s[2]["x-kingcupslip-caller-service"]
+                for s in self.requests_seen()[-20:]}
 
     def graceful_stop(self):
         """SIGTERM: requests finish, and the node reports that it drains."""
