A target that drains again is recorded by each process

Callers would have seen requests at a target that drains, after the end of all processes, in this order: a process takes a delayed announcement of a draining target for news before it has read the departures, learns better, and acknowledges the target's next announcement that drains without writing it. An announcement from between the two counted after the next end of all processes.

Cause: whether a target begins to drain was told by whether it gets requests, which reading the departures changes, too. Now it is told by the announcement before.

departure.by_draining_is_recorded_again_by_the_next_process failed before (199 requests reached the target).

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -188,7 +188,7 @@
   const bool new_instance =
       a.instance != m_instance || a.start_time_ms != m_start_time_ms;
   const bool begins_to_drain =
-      a.draining && (new_instance || !m_target_draining);
+      a.draining && (new_instance || !m_announced_draining);
   if (new_instance) {
     if (m_target_draining) {
       m_crash_detector.on_planned_end();
@@ -206,6 +206,7 @@
   m_start_time_ms = a.start_time_ms;
   m_sequence = a.sequence;
   m_announced_at = m_clock.now;
+  m_announced_draining = a.draining;
   if (begins_to_drain) {
     add_draining(a);
     m_notices.on_draining(a.sequence);
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -423,6 +423,7 @@
   bool m_draining = false;
   bool m_out_of_service = false;
   bool m_target_draining = false;
+  bool m_announced_draining = false; ///< in the last announcement
   /// When the target was last seen neither leaving nor out of service.
   instant m_last_in_service{0};
 };
--- a/tests/core/departure_test.cpp
+++ b/tests/core/departure_test.cpp
@@ -288,6 +288,24 @@
   CHECK(f.at("a1").target().ready());
 }
 
+// A process that took a delayed announcement for news, before it knew better,
+// must record the next one that drains: the target may have been in service in
+// between.
+TEST(departure, by_draining_is_recorded_again_by_the_next_process) {
+  settled_fleet f(17);
+  f.leave(true);
+  f.run_for(milliseconds(500));
+  f.restart_all();
+  f.at("a1").on_target_announce(announcement_of_a1(1000));
+  f.run_for(milliseconds(500));
+  f.at("a1").on_target_announce(announcement_of_a1(1005, true));
+  f.run_for(milliseconds(500));
+  f.restart_all();
+  f.run_for(milliseconds(500));
+  f.at("a1").on_target_announce(announcement_of_a1(1003));
+  check_unused(f);
+}
+
 // A store that came back from a copy lacked the departure.
 TEST(departure, is_written_again_after_the_store_was_restored) {
   settled_fleet f(13);
