Rows of departures that cannot be read are left alone

The node that removes old rows took one without a readable departure for expired, so that a later release with another format would have lost its rows to nodes of this one.

departure.in_a_row_that_cannot_be_read_is_not_removed failed before.

--- a/src/kingcupslip/core/departure_store.cpp
+++ b/src/kingcupslip/core/departure_store.cpp
@@ -288,7 +288,9 @@
         table_transaction t;
         for (const table_row& it : rows) {
           const std::vector<departure> d = decode(it.value, m_clock.wall);
+          // A row that cannot be read may be of a later release.
           const bool expired =
+              !d.empty() &&
               std::all_of(d.begin(), d.end(), [oldest](const departure& one) {
                 return one.left_at < oldest;
               });
--- a/tests/core/departure_test.cpp
+++ b/tests/core/departure_test.cpp
@@ -348,6 +348,16 @@
   LONGS_EQUAL(0, f.row_store.read({"departure/", "", 10}).size());
 }
 
+// A later release may write rows that this one cannot read.
+TEST(departure, in_a_row_that_cannot_be_read_is_not_removed) {
+  settled_fleet f(18);
+  std::uint64_t version = 0;
+  f.row_store.commit({{"departure/dc-a/x", 0, std::string("other"), false}},
+                     version);
+  f.run_for(std::chrono::minutes(90));
+  LONGS_EQUAL(1, f.row_store.read({"departure/", "", 10}).size());
+}
+
 // A row that another writer has changed is no reason to forget or to fail.
 TEST(departure, in_a_row_of_another_writer_harms_nothing) {
   for (const char* value :
