Departures are passed on when all nodes restart in turn without the store

Callers would have got no service: only a node that had read the table could tell a restarted one which targets had left. When all nodes had restarted in turn while the store was away, as in a roll-out during an outage, none of those was left, and each further node kept its target out of use until the store was back.

Change: a node that has not read the table asks in its gossip for the last departures at all nodes and gets them as a list; with it, and what is gossiped since, it can tell others. Nodes keep the last departure at each node whatever later instances state.

departure.is_passed_on_while_all_nodes_restart_without_the_store: two rounds of restarts; failed before (targets in no use), passes now, with the target that had left still unused.

--- a/src/kingcupslip/core/departure_store.cpp
+++ b/src/kingcupslip/core/departure_store.cpp
@@ -187,10 +187,12 @@
           }
           const std::vector<departure> d = decode(it.value, m_clock.wall);
           if (!d.empty()) {
-            m_notices[node_of(it.key)] = notice_for(d.back());
+            // What was gossiped since the row was read is newer.
+            m_notices.emplace(node_of(it.key), notice_for(d.back()));
           }
         }
         m_read = true;
+        m_complete = true;
         on_own_row(own_row);
       });
 }
@@ -316,6 +318,49 @@
   }
 }
 
+void departure_store::on_departure_at(const std::string& node,
+                                      const wire::target_noticeT& n) {
+  m_notices[node] = n;
+}
+
+void departure_store::on_list(const std::string& peer,
+                              const wire::departure_listT& list) {
+  for (const std::unique_ptr<wire::departureT>& it : list.items) {
+    if (!it->notice) {
+      continue;
+    }
+    if (it->node == m_dependencies.self.node) {
+      m_dependencies.on_own_departure(*it->notice);
+    } else {
+      m_notices.emplace(it->node, *it->notice);
+    }
+  }
+  m_complete = true;
+  on_confirmed_by_peer(peer);
+}
+
+std::unique_ptr<wire::departure_listT> departure_store::list() const {
+  std::unique_ptr<wire::departure_listT> out =
+      std::make_unique<wire::departure_listT>();
+  const auto add = [&out](const std::string& node,
+                          const wire::target_noticeT& n) {
+    std::unique_ptr<wire::departureT> item =
+        std::make_unique<wire::departureT>();
+    item->node = node;
+    item->notice = std::make_unique<wire::target_noticeT>(n);
+    out->items.push_back(std::move(item));
+  };
+  for (const std::pair<const std::string, wire::target_noticeT>& it :
+       m_notices) {
+    add(it.first, it.second);
+  }
+  if (!m_dependencies.departed.all().empty()) {
+    add(m_dependencies.self.node,
+        notice_for(m_dependencies.departed.all().back()));
+  }
+  return out;
+}
+
 const wire::target_noticeT*
 departure_store::notice_of(const std::string& node) const {
   const auto it = m_notices.find(node);
--- a/src/kingcupslip/core/departure_store.hpp
+++ b/src/kingcupslip/core/departure_store.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
     std::function<bool()> is_sweeper;
     /// Called whenever departures of earlier processes were added.
     std::function<void()> on_learned;
+    /// Called with a departure at this node that another one has told.
+    std::function<void(const wire::target_noticeT&)> on_own_departure;
     event_sink log;
   };
 
@@ -52,16 +55,22 @@
   /// Whether the departures of earlier processes of this node are known, from
   /// the table or from another node.
   bool known() const { return m_own_row_read || m_confirmed; }
-  /// Whether the table was read, with the departures at all nodes.
-  bool read() const { return m_read; }
+  /// Whether those at all nodes are known, so that this node can tell others.
+  bool complete() const { return m_complete; }
 
-  /// Another node, which has read the table, has told what it knows of the
+  /// Another node, whose knowledge is complete, has told what it knows of the
   /// departures at this one.
   void on_confirmed_by_peer(const std::string& peer);
 
-  /// The last departure at another node, as it was in the table when this
-  /// process started; null if there was none.
+  /// An instance has left at another node.
+  void on_departure_at(const std::string& node, const wire::target_noticeT& n);
+  /// Another node has told its complete list.
+  void on_list(const std::string& peer, const wire::departure_listT& list);
+
+  /// The last departure at another node; null if none is known.
   const wire::target_noticeT* notice_of(const std::string& node) const;
+  /// The last departure at each node, this one included.
+  std::unique_ptr<wire::departure_listT> list() const;
 
   /// The table was restored from an older copy, which may lack the row.
   void on_table_restored();
@@ -102,6 +111,7 @@
   bool m_version_known = false;
   bool m_call_pending = false;
   bool m_read = false; ///< all rows
+  bool m_complete = false;
   bool m_own_row_read = false;
   bool m_confirmed = false;
 };
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -54,14 +54,12 @@
                 [this](const std::string& to, wire::gossipT& g) {
                   m_state.fill_gossip(g);
                   m_rollouts.fill_gossip(g);
-                  fill_departure(to, g);
+                  fill_departures(to, g);
                 },
                 [this](const std::string& from, const wire::gossipT& g) {
                   m_state.on_gossip(from, g);
                   m_rollouts.on_gossip(g);
-                  if (g.departures_known) {
-                    m_departures.on_confirmed_by_peer(from);
-                  }
+                  on_gossiped_departures(from, g);
                 }},
                m_clock),
       m_crash_records({m_hooks.table, m_quarantine, m_members, m_hooks.log},
@@ -76,7 +74,11 @@
                       return m_members.preferred("departure-sweeper") ==
                              m_options.self.node;
                     },
-                    [this] { on_departures_learned(); }, m_hooks.log},
+                    [this] { on_departures_learned(); },
+                    [this](const wire::target_noticeT& n) {
+                      m_local_target.on_reported_notice(n);
+                    },
+                    m_hooks.log},
                    m_clock),
       m_rollouts({m_options.rollout_share},
                  {m_members, m_local_target, m_hooks.table, m_hooks.send,
@@ -304,13 +306,35 @@
   update_target_state();
 }
 
-void routed_node::fill_departure(const std::string& to,
-                                 wire::gossipT& g) const {
-  const wire::target_noticeT* in_table = m_departures.notice_of(to);
-  if (!g.known_notice && in_table != nullptr) {
-    g.known_notice = std::make_unique<wire::target_noticeT>(*in_table);
+void routed_node::fill_departures(const std::string& to, wire::gossipT& g) {
+  const wire::target_noticeT* last = m_departures.notice_of(to);
+  if (!g.known_notice && last != nullptr) {
+    g.known_notice = std::make_unique<wire::target_noticeT>(*last);
+  }
+  g.departures_known = m_departures.complete();
+  g.departures_wanted = !m_departures.complete();
+  if (m_departures.complete() && m_departures_wanted_by.erase(to) != 0) {
+    g.departures = m_departures.list();
+  }
+}
+
+void routed_node::on_gossiped_departures(const std::string& from,
+                                         const wire::gossipT& g) {
+  for (const std::unique_ptr<wire::memberT>& it : g.members) {
+    // Not from the update itself, which may be an old one.
+    const member* m = m_members.find(it->node);
+    if (m != nullptr && m->info.departure && it->node != m_options.self.node) {
+      m_departures.on_departure_at(it->node, *m->info.departure);
+    }
+  }
+  if (g.departures_wanted) {
+    m_departures_wanted_by.insert(from);
+  }
+  if (g.departures) {
+    m_departures.on_list(from, *g.departures);
+  } else if (g.departures_known) {
+    m_departures.on_confirmed_by_peer(from);
   }
-  g.departures_known = m_departures.read();
 }
 
 void routed_node::set_options(const routed_options& o) {
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -136,8 +137,10 @@
   void update_target_state();
   /// Null before the first routes.
   std::optional<cold_start_settings> target_cold_start() const;
-  /// Adds to the gossip for a node what this one knows of that node's target.
-  void fill_departure(const std::string& to, wire::gossipT& g) const;
+  /// Adds to the gossip for a node what this one knows of that node's target,
+  /// and of all targets if that node has asked.
+  void fill_departures(const std::string& to, wire::gossipT& g);
+  void on_gossiped_departures(const std::string& from, const wire::gossipT& g);
   void on_departures_learned();
   void answer_when_recorded(const announcement_handler& handler);
   void tick_drain();
@@ -161,6 +164,7 @@
   routed_entry m_entry;
   incoming_calls m_incoming_calls;
   std::size_t m_fleet_size = 0;
+  std::set<std::string> m_departures_wanted_by; ///< nodes that asked
   instant m_next_ask_at{0};
   instant m_drain_started_at{0};
   instant m_leave_started_at{0};
--- a/tests/core/departure_test.cpp
+++ b/tests/core/departure_test.cpp
@@ -254,6 +254,29 @@
   }
 }
 
+// Only nodes that had read the table themselves could tell others. Once all had
+// restarted in turn, none was left, and no target was used until the store was
+// back.
+TEST(departure, is_passed_on_while_all_nodes_restart_without_the_store) {
+  settled_fleet f(19);
+  f.leave(false);
+  f.run_for(milliseconds(500));
+  f.store_down = true;
+  f.announcing = true;
+  for (int round = 0; round < 2; ++round) {
+    for (const std::string& it : nodes) {
+      f.kill(it);
+      f.run_for(milliseconds(300));
+      f.restart_node(it);
+      f.run_for(seconds(3));
+    }
+  }
+  for (const char* it : {"a2", "b1", "b2"}) {
+    CHECK(f.at(it).target().ready());
+  }
+  check_unused(f);
+}
+
 // The next lifetime of an instance and another one at its address are no
 // departed ones.
 TEST(departure, of_an_instance_delays_no_later_one) {
