Check-ins are judged by the settings as they are now

Change: the state of the settings file is compared at each announcement, as at each request of a caller.

sessions.adapter_reload sends a heartbeat of the earlier service right after the file was replaced: 200 before, 400 now, and 200 again once the settings name the first service.

--- a/src/kingcupslip/daemon/routed_daemon.cpp
+++ b/src/kingcupslip/daemon/routed_daemon.cpp
@@ -202,10 +202,7 @@
 
 void routed_daemon::on_caller_request(caller_request request,
                                       const response_sender& send) {
-  if (m_settings_file.changed()) {
-    // The request names the service of this VM, which may be another now.
-    reload_settings();
-  }
+  update_settings();
   const std::chrono::milliseconds waited = request.waited;
   std::optional<routed_request> decoded =
       m_protocol.decode_request(std::move(request));
@@ -237,6 +234,7 @@
 
 void routed_daemon::on_announcement(const caller_request& request,
                                     const response_sender& send) {
+  update_settings();
   const std::optional<announcement> a = m_protocol.decode_announcement(request);
   const std::string own_address =
       m_settings.target.ip + ":" + std::to_string(m_settings.target.port);
@@ -319,6 +317,12 @@
   });
 }
 
+void routed_daemon::update_settings() {
+  if (m_settings_file.changed()) {
+    reload_settings();
+  }
+}
+
 void routed_daemon::reload_settings() {
   const std::optional<std::string> text = m_settings_file.read();
   if (!text) {
--- a/src/kingcupslip/daemon/routed_daemon.hpp
+++ b/src/kingcupslip/daemon/routed_daemon.hpp
@@ -70,6 +70,9 @@
   /// Applies the settings that can change while the process runs: limits and
   /// periods. Settings with errors change nothing.
   void reload_settings();
+  /// Reads the settings again if their file has changed. Requests and
+  /// announcements are handled by the service that they name for this VM.
+  void update_settings();
   /// Whether a graceful shutdown is complete, answers to callers included, or
   /// has to end now.
   bool may_exit() const;
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -827,22 +827,32 @@
         yield "still served", self.send("/safe/a")[0]
         yield "callers after another service", self.named_callers("deudas")
         yield "and after the first", self.named_callers("svc")
+        self.heartbeats_enabled = False
+        self.name_service("deudas")
+        yield "heartbeat of the earlier service", node.send_heartbeat()
+        self.name_service("svc")
+        yield "and of the first again", node.send_heartbeat()
+        self.heartbeats_enabled = True
 
     def named_callers(self, service):
-        """The settings of the first node name the service, without a signal;
-        returns the services that its callers' requests come from."""
-        node = self.nodes[0]
-        path = pathlib.Path(node.settings.name)
+        """Returns the services that callers' requests come from once the
+        settings of the first node name this one."""
+        self.name_service(service)
+        for _ in range(20):
+            self.send("/safe/a")
+        return {s[2]["x-kingcupslip-caller-service"]
+                for s in self.requests_seen()[-20:]}
+
+    def name_service(self, service):
+        """Has the settings of the first node name the service, without a
+        signal."""
+        path = pathlib.Path(self.nodes[0].settings.name)
         text = re.sub(r"^service: .*$", f"service: {service}",
                       path.read_text().replace("no_such_key: 1\n", ""),
                       flags=re.MULTILINE)
         replaced = path.with_suffix(".new")
         replaced.write_text(text)
         replaced.replace(path)
-        for _ in range(20):
-            self.send("/safe/a")
-        return {s[2]["x-kingcupslip-caller-service"]
-                for s in self.requests_seen()[-20:]}
 
     def graceful_stop(self):
         """SIGTERM: requests finish, and the node reports that it drains."""
