Rows of departures that cannot be read are logged

They were passed over in silence, unlike other rows of the table. One function reads rows for all three callers, an operator that nothing used is gone, and the tests of departures share the end of all nodes.

departure.in_a_row_that_cannot_be_read_is_not_removed checks the event, which was not logged before.

--- a/src/kingcupslip/core/departed_instances.cpp
+++ b/src/kingcupslip/core/departed_instances.cpp
@@ -17,11 +17,6 @@
 
 } // namespace
 
-bool operator==(const departure& a, const departure& b) {
-  return a.instance == b.instance && coverage_of(a) == coverage_of(b) &&
-         a.left_at == b.left_at && a.announced == b.announced;
-}
-
 void departed_instances::add(const departure& d) {
   const auto it = std::find_if(
       m_departures.begin(), m_departures.end(),
--- a/src/kingcupslip/core/departed_instances.hpp
+++ b/src/kingcupslip/core/departed_instances.hpp
@@ -27,8 +27,6 @@
   bool announced = false;
 };
 
-bool operator==(const departure& a, const departure& b);
-
 /// Remembers which instances have left, so that their delayed announcements are
 /// recognized. Beyond a number of them the one that left longest ago is
 /// forgotten, an instance that never announced itself here before any other:
--- a/src/kingcupslip/core/departure_store.cpp
+++ b/src/kingcupslip/core/departure_store.cpp
@@ -34,6 +34,8 @@
     departure_retention + std::chrono::minutes(10);
 /// Of one transaction.
 constexpr std::size_t max_removed_rows = 50;
+/// Of one read; more nodes than a fleet has.
+constexpr std::size_t max_rows = 10'000;
 
 std::string encode(const std::vector<departure>& departures) {
   json rows = json::array();
@@ -170,46 +172,57 @@
   }
 }
 
-void departure_store::read_all_rows() {
+void departure_store::read_rows(const std::string& prefix,
+                                std::size_t row_limit,
+                                const row_handler& handler) {
   m_call_pending = true;
   m_dependencies.table.read(
-      {std::string(departure_prefix), "", 10'000},
-      [this](table_status status, const std::vector<table_row>& rows) {
+      {prefix, "", row_limit},
+      [this, handler](table_status status, const std::vector<table_row>& rows) {
         m_call_pending = false;
-        if (status != table_status::ok) {
-          return;
-        }
-        const table_row* own_row = nullptr;
-        for (const table_row& it : rows) {
-          if (it.key == m_key) {
-            own_row = &it;
-            continue;
-          }
-          const std::vector<departure> d = decode(it.value, m_clock.wall);
-          if (!d.empty()) {
-            // What was gossiped since the row was read is newer.
-            m_notices.emplace(node_of(it.key), notice_for(d.back()));
-          }
+        if (status == table_status::ok) {
+          handler(rows);
         }
-        m_read = true;
-        m_complete = true;
-        on_own_row(own_row);
       });
 }
 
+std::vector<departure>
+departure_store::departures_in(const table_row& row) const {
+  std::vector<departure> out = decode(row.value, m_clock.wall);
+  if (out.empty()) {
+    m_dependencies.log(event_id::row_unreadable, {{"key", row.key}});
+  }
+  return out;
+}
+
+void departure_store::read_all_rows() {
+  read_rows(std::string(departure_prefix), max_rows,
+            [this](const std::vector<table_row>& rows) {
+              const table_row* own_row = nullptr;
+              for (const table_row& it : rows) {
+                if (it.key == m_key) {
+                  own_row = &it;
+                  continue;
+                }
+                const std::vector<departure> d = departures_in(it);
+                if (!d.empty()) {
+                  // What was gossiped since the row was read is newer.
+                  m_notices.emplace(node_of(it.key), notice_for(d.back()));
+                }
+              }
+              m_read = true;
+              m_complete = true;
+              on_own_row(own_row);
+            });
+}
+
 void departure_store::read_own_row() {
-  m_call_pending = true;
-  m_dependencies.table.read(
-      {m_key, "", 1},
-      [this](table_status status, const std::vector<table_row>& rows) {
-        m_call_pending = false;
-        if (status != table_status::ok) {
-          m_next_write_at = m_clock.now + write_retry_period;
-          return;
-        }
-        const bool found = !rows.empty() && rows.front().key == m_key;
-        on_own_row(found ? &rows.front() : nullptr);
-      });
+  m_next_write_at = m_clock.now + write_retry_period;
+  read_rows(m_key, 1, [this](const std::vector<table_row>& rows) {
+    m_next_write_at = m_clock.now;
+    const bool found = !rows.empty() && rows.front().key == m_key;
+    on_own_row(found ? &rows.front() : nullptr);
+  });
 }
 
 void departure_store::on_own_row(const table_row* row) {
@@ -219,7 +232,7 @@
   m_own_row_read = true;
   std::vector<departure> in_row;
   if (row != nullptr) {
-    in_row = decode(row->value, m_clock.wall);
+    in_row = departures_in(*row);
   }
   for (const departure& it : in_row) {
     m_dependencies.departed.add(it);
@@ -278,36 +291,32 @@
 }
 
 void departure_store::sweep() {
+  read_rows(std::string(departure_prefix), max_rows,
+            [this](const std::vector<table_row>& rows) { remove_old(rows); });
+}
+
+void departure_store::remove_old(const std::vector<table_row>& rows) {
+  const wall_time oldest = m_clock.wall - row_retention;
+  table_transaction t;
+  for (const table_row& it : rows) {
+    const std::vector<departure> d = departures_in(it);
+    // A row that cannot be read may be of a later release.
+    const bool expired =
+        !d.empty() &&
+        std::all_of(d.begin(), d.end(), [oldest](const departure& one) {
+          return one.left_at < oldest;
+        });
+    if (expired && it.key != m_key && t.size() < max_removed_rows) {
+      t.push_back({it.key, it.version, std::nullopt, false});
+    }
+  }
+  if (t.empty()) {
+    return;
+  }
   m_call_pending = true;
-  m_dependencies.table.read(
-      {std::string(departure_prefix), "", 10'000},
-      [this](table_status status, const std::vector<table_row>& rows) {
-        m_call_pending = false;
-        if (status != table_status::ok) {
-          return;
-        }
-        const wall_time oldest = m_clock.wall - row_retention;
-        table_transaction t;
-        for (const table_row& it : rows) {
-          const std::vector<departure> d = decode(it.value, m_clock.wall);
-          // A row that cannot be read may be of a later release.
-          const bool expired =
-              !d.empty() &&
-              std::all_of(d.begin(), d.end(), [oldest](const departure& one) {
-                return one.left_at < oldest;
-              });
-          if (expired && it.key != m_key && t.size() < max_removed_rows) {
-            t.push_back({it.key, it.version, std::nullopt, false});
-          }
-        }
-        if (!t.empty()) {
-          // If a row has changed meanwhile, the next sweep removes the others.
-          m_call_pending = true;
-          m_dependencies.table.commit(t, [this](table_status, std::uint64_t) {
-            m_call_pending = false;
-          });
-        }
-      });
+  // If a row has changed meanwhile, the next sweep removes the others.
+  m_dependencies.table.commit(
+      t, [this](table_status, std::uint64_t) { m_call_pending = false; });
 }
 
 void departure_store::on_confirmed_by_peer(const std::string& peer) {
--- a/src/kingcupslip/core/departure_store.hpp
+++ b/src/kingcupslip/core/departure_store.hpp
@@ -9,6 +9,7 @@
 #include "kingcupslip/core/time.hpp"
 #include "kingcupslip/wire/generated/messages.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -87,6 +88,14 @@
   /// Departures that are recent enough to be kept in the table. The others stay
   /// in memory only, so that nodes that report them do not renew them.
   std::vector<departure> kept_departures() const;
+  using row_handler = std::function<void(const std::vector<table_row>&)>;
+
+  /// Reads the rows whose keys begin with the prefix; `handler` is not called
+  /// if that fails.
+  void read_rows(const std::string& prefix, std::size_t row_limit,
+                 const row_handler& handler);
+  /// Logs the row if it has no departure that can be read.
+  std::vector<departure> departures_in(const table_row& row) const;
   void read_all_rows();
   /// Reads the own row again, which another process may have changed or a write
   /// of unknown outcome may have written.
@@ -94,6 +103,7 @@
   void on_own_row(const table_row* row);
   void write();
   void sweep();
+  void remove_old(const std::vector<table_row>& rows);
   void answer_waiting();
   void log_known(const std::string& source) const;
 
--- a/tests/core/departure_test.cpp
+++ b/tests/core/departure_test.cpp
@@ -32,6 +32,9 @@
   return out;
 }
 
+/// What a node answers to an announcement; null until it does.
+using pending_result = std::shared_ptr<std::optional<announcement_result>>;
+
 /// Four nodes whose targets announce themselves only before the test begins.
 struct settled_fleet : routed_fleet {
   explicit settled_fleet(std::uint64_t seed) : routed_fleet(seed) {
@@ -39,10 +42,9 @@
     announcing = false;
   }
 
-  /// Sends a1's goodbye, or that it drains. The result is null until the node
-  /// answers.
-  std::shared_ptr<std::optional<announcement_result>> leave(bool by_draining) {
-    const std::shared_ptr<std::optional<announcement_result>> out =
+  /// Sends a1's goodbye, or that it drains.
+  pending_result leave(bool by_draining) {
+    const pending_result out =
         std::make_shared<std::optional<announcement_result>>();
     const auto answer = [out](announcement_result r) { *out = r; };
     if (by_draining) {
@@ -72,6 +74,15 @@
   LONGS_EQUAL(before, f.target("a1").total_runs);
 }
 
+/// Ends all nodes and checks that a delayed announcement of a1's target does
+/// not bring it back.
+void check_unused_after_all_end(settled_fleet& f) {
+  f.restart_all();
+  f.run_for(seconds(3));
+  f.at("a1").on_target_announce(announcement_of_a1(1000));
+  check_unused(f);
+}
+
 } // namespace
 
 // clang-format off
@@ -85,10 +96,7 @@
   settled_fleet f(1);
   f.at("a1").on_target_leave("a1-1", 1);
   f.run_for(milliseconds(500));
-  f.restart_all();
-  f.run_for(seconds(3));
-  f.at("a1").on_target_announce(announcement_of_a1(1000));
-  check_unused(f);
+  check_unused_after_all_end(f);
 }
 
 // The same where the late announcement is the first message to the new process.
@@ -107,10 +115,7 @@
   settled_fleet f(3);
   f.at("a1").on_target_announce(announcement_of_a1(1001, true));
   f.run_for(milliseconds(500));
-  f.restart_all();
-  f.run_for(seconds(3));
-  f.at("a1").on_target_announce(announcement_of_a1(1000));
-  check_unused(f);
+  check_unused_after_all_end(f);
 }
 
 // The same for a target whose answers said that it leaves: its heartbeats go on
@@ -122,10 +127,7 @@
   f.run_for(seconds(2));
   CHECK_FALSE(f.at("a1").target().ready());
   f.target("a1").answer_headers = {};
-  f.restart_all();
-  f.run_for(seconds(3));
-  f.at("a1").on_target_announce(announcement_of_a1(1000));
-  check_unused(f);
+  check_unused_after_all_end(f);
 }
 
 // An acknowledgement was given before the table had the departure. Here all
@@ -136,7 +138,7 @@
   for (const bool by_draining : {false, true}) {
     for (int ms = 0; ms <= 20; ++ms) {
       settled_fleet f(5);
-      const auto answer = f.leave(by_draining);
+      const pending_result answer = f.leave(by_draining);
       f.run_for(milliseconds(ms));
       f.restart_all();
       if (!*answer) {
@@ -161,7 +163,7 @@
   for (const bool by_draining : {false, true}) {
     settled_fleet f(6);
     f.store_down = true;
-    auto answer = f.leave(by_draining);
+    pending_result answer = f.leave(by_draining);
     check_unused(f);
     CHECK(*answer == announcement_result::not_recorded);
     f.store_down = false;
@@ -169,10 +171,7 @@
     answer = f.leave(by_draining);
     f.run_for(milliseconds(1));
     CHECK(*answer == announcement_result::acknowledged);
-    f.restart_all();
-    f.run_for(seconds(3));
-    f.at("a1").on_target_announce(announcement_of_a1(1000));
-    check_unused(f);
+    check_unused_after_all_end(f);
   }
 }
 
@@ -180,7 +179,7 @@
 TEST(departure, is_answered_within_a_second) {
   settled_fleet f(7);
   f.store_down = true;
-  const auto answer = f.leave(false);
+  const pending_result answer = f.leave(false);
   f.run_for(milliseconds(950));
   CHECK(answer->has_value());
 }
@@ -190,7 +189,7 @@
 TEST(departure, is_acknowledged_though_the_answer_of_the_store_was_lost) {
   settled_fleet f(8);
   f.lost_commits = 1;
-  const auto answer = f.leave(false);
+  const pending_result answer = f.leave(false);
   f.run_for(milliseconds(500));
   CHECK(*answer == announcement_result::acknowledged);
 }
@@ -199,7 +198,7 @@
 // and send it routes and requests.
 TEST(departure, is_learned_from_a_node_that_has_read_the_table) {
   settled_fleet f(9);
-  const auto answer = f.leave(false);
+  const pending_result answer = f.leave(false);
   f.run_for(milliseconds(500));
   CHECK(*answer == announcement_result::acknowledged);
   f.cut_off_nodes = {"a1"};
@@ -337,10 +336,7 @@
   f.run_for(milliseconds(500));
   f.restore_store();
   f.run_for(seconds(5));
-  f.restart_all();
-  f.run_for(seconds(3));
-  f.at("a1").on_target_announce(announcement_of_a1(1000));
-  check_unused(f);
+  check_unused_after_all_end(f);
 }
 
 // A series of goodbyes, which another writer may send, must not use up the
@@ -378,6 +374,10 @@
   f.row_store.commit({{"departure/dc-a/x", 0, std::string("other"), false}},
                      version);
   f.run_for(std::chrono::minutes(90));
+  CHECK(std::any_of(nodes.begin(), nodes.end(), [&f](const std::string& it) {
+    return std::count(f.events.begin(), f.events.end(),
+                      it + " row_unreadable") > 0;
+  }));
   LONGS_EQUAL(1, f.row_store.read({"departure/", "", 10}).size());
 }
 
@@ -399,9 +399,6 @@
     f.at("a1").on_target_announce(later);
     f.at("a1").on_target_leave("a1-1", 2);
     f.run_for(seconds(2));
-    f.restart_all();
-    f.run_for(seconds(3));
-    f.at("a1").on_target_announce(announcement_of_a1(1000));
-    check_unused(f);
+    check_unused_after_all_end(f);
   }
 }
