Metrics of departures: known, and not acknowledged in time

A node that holds its target back until it knows the departures, or that answers a leaving target with 503, showed it in its log only.

--- a/src/kingcupslip/core/departure_store.cpp
+++ b/src/kingcupslip/core/departure_store.cpp
@@ -163,6 +163,7 @@
   }
   for (const std::pair<record_handler, bool>& it : due) {
     if (!it.second) {
+      ++m_unrecorded;
       m_dependencies.log(
           event_id::departure_unrecorded,
           {{"waited_ms",
--- a/src/kingcupslip/core/departure_store.hpp
+++ b/src/kingcupslip/core/departure_store.hpp
@@ -59,6 +59,10 @@
   /// Whether those at all nodes are known, so that this node can tell others.
   bool complete() const { return m_complete; }
 
+  /// Departures that were not acknowledged because they were not recorded in
+  /// time, so far.
+  std::uint64_t unrecorded() const { return m_unrecorded; }
+
   /// Another node, whose knowledge is complete, has told what it knows of the
   /// departures at this one.
   void on_confirmed_by_peer(const std::string& peer);
@@ -114,6 +118,7 @@
   std::map<std::string, wire::target_noticeT> m_notices; ///< by other node
   std::uint64_t m_version = 0; ///< of the own row; 0: not in the table
   std::uint64_t m_recorded_revision = 0;
+  std::uint64_t m_unrecorded = 0;
   wall_time m_oldest_in_row = wall_time::max();
   instant m_next_read_at{0};
   instant m_next_write_at{0};
--- a/src/kingcupslip/core/routed_node.hpp
+++ b/src/kingcupslip/core/routed_node.hpp
@@ -50,7 +50,9 @@
 /// What a node answers to an announcement of its target.
 enum class announcement_result : std::uint8_t {
   acknowledged,
-  not_local,   ///< it is not of the target beside this node; nothing changed
+  /// It is not of the target beside this node, or of no instance that can have
+  /// started; nothing changed.
+  not_local,
   not_recorded ///< it counts, but another process may not learn of it
 };
 
@@ -122,6 +124,7 @@
   const member_table& members() const { return m_members; }
   const target_stage& target() const { return m_local_target; }
   const dispatcher& dispatch() const { return m_dispatcher; }
+  const departure_store& departures() const { return m_departures; }
   const rollouts& rollout_states() const { return m_rollouts; }
   const request_counters& counts() const { return m_entry.counts(); }
   std::size_t in_progress() const { return m_entry.in_progress(); }
--- a/src/kingcupslip/daemon/metrics.cpp
+++ b/src/kingcupslip/daemon/metrics.cpp
@@ -193,6 +193,10 @@
                static_cast<double>(n.state().store_timeline()));
   append_gauge(out, "kingcupslip_state_age_seconds",
                static_cast<double>(n.state().age().count()) / us_per_s);
+  append_gauge(out, "kingcupslip_departures_known",
+               n.departures().known() ? 1 : 0);
+  append_counter(out, "kingcupslip_departures_unrecorded_total",
+                 n.departures().unrecorded());
   append_gauge(out, "kingcupslip_members",
                static_cast<double>(n.members().usable().size()));
   append_counter(out, "kingcupslip_store_connections_total",
--- a/tests/sessions/run_platform.py
+++ b/tests/sessions/run_platform.py
@@ -646,6 +646,9 @@
         began = time.monotonic()
         yield "goodbye, no store", goodbye()
         yield "within a second", time.monotonic() - began < 1
+        metrics = n.call(n.metrics, "GET", "/metrics")[2].decode()
+        yield "counted", [line for line in metrics.splitlines()
+                          if line.startswith("kingcupslip_departures")]
         yield "no requests", self.late_runs(heartbeat)
         self.store.down = False
         yield "again, with the store", self.wait(lambda: goodbye() == 200)
