The list of departures is sent only to nodes that could not read the table

Each node that starts asked for the list until its first read was answered, and each of the three members that it greets would have sent it: 0.3 MB a start where 1,000 nodes have a departure (computed). Now a node asks once a read has failed.

departure.list_is_wanted_only_if_the_table_was_not_read failed without the condition.

--- a/src/kingcupslip/core/departure_store.cpp
+++ b/src/kingcupslip/core/departure_store.cpp
@@ -181,7 +181,8 @@
       {prefix, "", row_limit},
       [this, handler](table_status status, const std::vector<table_row>& rows) {
         m_call_pending = false;
-        if (status == table_status::ok) {
+        m_read_failed = status != table_status::ok;
+        if (!m_read_failed) {
           handler(rows);
         }
       });
--- a/src/kingcupslip/core/departure_store.hpp
+++ b/src/kingcupslip/core/departure_store.hpp
@@ -58,6 +58,9 @@
   bool known() const { return m_own_row_read || m_confirmed; }
   /// Whether those at all nodes are known, so that this node can tell others.
   bool complete() const { return m_complete; }
+  /// Whether this node needs the list of another one, as it does not get it
+  /// from the table.
+  bool wants_list() const { return !m_complete && m_read_failed; }
 
   /// Departures that were not acknowledged because they were not recorded in
   /// time, so far.
@@ -125,7 +128,8 @@
   instant m_next_sweep_at{0};
   bool m_version_known = false;
   bool m_call_pending = false;
-  bool m_read = false; ///< all rows
+  bool m_read = false;        ///< all rows
+  bool m_read_failed = false; ///< the last one
   bool m_complete = false;
   bool m_own_row_read = false;
   bool m_confirmed = false;
--- a/src/kingcupslip/core/routed_node.cpp
+++ b/src/kingcupslip/core/routed_node.cpp
@@ -312,7 +312,7 @@
     g.known_notice = std::make_unique<wire::target_noticeT>(*last);
   }
   g.departures_known = m_departures.complete();
-  g.departures_wanted = !m_departures.complete();
+  g.departures_wanted = m_departures.wants_list();
   if (m_departures.complete() && m_departures_wanted_by.erase(to) != 0) {
     g.departures = m_departures.list();
   }
--- a/tests/core/departure_test.cpp
+++ b/tests/core/departure_test.cpp
@@ -276,6 +276,36 @@
   check_unused(f);
 }
 
+// Each node that starts beside a store in service would be sent the list by
+// three others, which at 1,000 departures is 0.3 MB.
+TEST(departure, list_is_wanted_only_if_the_table_was_not_read) {
+  departed_instances departed;
+  clock_reading clock{seconds(1), milliseconds(1)};
+  read_handler answer;
+  const auto read = [&answer](const table_query&, const read_handler& h) {
+    answer = h;
+  };
+  const auto ignore = [](const wire::target_noticeT&) {};
+  departure_store s({node_identity{},
+                     {read, nullptr},
+                     departed,
+                     [] { return false; },
+                     [] {},
+                     ignore,
+                     [](event_id, const event_fields&) {}},
+                    clock);
+  s.tick();
+  CHECK_FALSE(s.wants_list());
+  answer(table_status::unavailable, {});
+  CHECK(s.wants_list());
+  CHECK_FALSE(s.known());
+  clock.now += seconds(2);
+  s.tick();
+  answer(table_status::ok, {});
+  CHECK_FALSE(s.wants_list());
+  CHECK(s.complete());
+}
+
 // The next lifetime of an instance and another one at its address are no
 // departed ones.
 TEST(departure, of_an_instance_delays_no_later_one) {
