--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")"
 command -v python3 >/dev/null
-for f in standins_3.py 11/case.py 12/case.py 13/case.py; do
+for f in standins_3.py 11/case.py 12/case.py 13/case.py 14/case.py 15/case.py; do
   python3 -B -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$f"
 done
 test -x ../target/kingcupslip-platform
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -248,22 +248,30 @@
         self.lock = threading.Lock()
         self.connections = set()
         self.ended = False
+        self.paused = False  # sends no check-ins by itself
         self.may_accept = threading.Event()
         self.may_accept.set()
+        self.listen()
+
+    def listen(self):
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind((HOST, port))
+        self.listener.bind((HOST, self.port))
         self.listener.listen(128)
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
-        while not self.ended:
+        listener = self.listener
+        while not self.ended and listener is self.listener:
             self.may_accept.wait()
-            if not select.select([self.listener], [], [], 0.05)[0]:
-                continue
-            if not self.may_accept.is_set():
-                continue
-            connection = self.listener.accept()[0]
+            try:
+                if not select.select([listener], [], [], 0.05)[0]:
+                    continue
+                if not self.may_accept.is_set():
+                    continue
+                connection = listener.accept()[0]
+            except (OSError, ValueError):  # closed meanwhile
+                return
             threading.Thread(target=self.serve, args=(connection,),
                              daemon=True).start()
 
@@ -297,6 +305,18 @@
         text = json.dumps({"born": self.born})
         status = self.tell(f"/Instances.Deregister/{self.instance}", text)
         self.record.write(f"{self.instance}: goodbye, answered {status}")
+        return status
+
+    def crash(self):
+        """Ends without a word; `start_again` begins another lifetime."""
+        self.end()
+
+    def start_again(self):
+        """Starts under the id that it had."""
+        self.born = int(time.time() * 1000)
+        self.sequence, self.state, self.ended = 0, "ready", False
+        self.listen()
+        self.record.write(f"{self.instance}: has started again")
 
     def end(self):
         """Ends as a process does: its connections are closed."""
@@ -358,14 +378,19 @@
                 f"Keep-Alive: timeout={seconds}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
 
-    def check_in(self, **changed):
+    def next_check_in(self):
         self.sequence += 1
-        text = json.dumps({
+        return json.dumps({
             "service": self.service, "address": f"{HOST}:{self.port}",
             "zone": self.zone, "version": "v1", "slots": self.slots,
             "state": self.state, "cold-remaining-s": 0,
-            "sequence": self.sequence, "born": self.born, **changed})
-        status = self.tell(f"/Instances.Heartbeat/{self.instance}", text)
+            "sequence": self.sequence, "born": self.born})
+
+    def send_check_in(self, text):
+        return self.tell(f"/Instances.Heartbeat/{self.instance}", text)
+
+    def check_in(self):
+        status = self.send_check_in(self.next_check_in())
         if status == 200:
             self.acknowledged_at.setdefault(self.state, time.monotonic())
         if self.state != "ready":
@@ -383,7 +408,8 @@
     def keep_checking_in(self):
         def loop():
             while not self.ended:
-                self.check_in()
+                if not self.paused:
+                    self.check_in()
                 time.sleep(HEARTBEAT_S)
         threading.Thread(target=loop, daemon=True).start()
 
