--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -249,6 +249,8 @@
         self.connections = set()
         self.ended = False
         self.paused = False  # sends no check-ins by itself
+        self.deadly_path = None  # a request for it crashes the endpoint
+        self.on_crash = None  # called after such a crash
         self.may_accept = threading.Event()
         self.may_accept.set()
         self.listen()
@@ -311,8 +313,9 @@
         """Ends without a word; `start_again` begins another lifetime."""
         self.end()
 
-    def start_again(self):
-        """Starts under the id that it had."""
+    def start_again(self, instance=None):
+        """Starts under the id that it had, or another one."""
+        self.instance = instance or self.instance
         self.born = int(time.time() * 1000)
         self.sequence, self.state, self.ended = 0, "ready", False
         self.listen()
@@ -367,6 +370,10 @@
                               body))
         self.record.write(f"{self.instance}: runs {request_id} {method} {path}"
                           f" ({len(body)} bytes)")
+        if path == self.deadly_path:
+            self.crash()
+            threading.Thread(target=self.on_crash, daemon=True).start()
+            raise OSError("crashed")
         time.sleep(self.work_s)
         out = (request_id.encode() + b" ") * self.answer_bytes
         return self.encode("200 OK", out[:self.answer_bytes], echo
