Counts of outcomes by route and of target load, logged each second

Lines of single requests are limited to 100 refusals and 20 answers a second, so that under overload most are left out, and the counters do not tell calls of targets from callers' requests. Which decision ended a chain, at what second, could not be told. Two events with the complete counts of a second, logged only by nodes that refuse, fail or are full.

--- a/src/kingcupslip/core/log_event.cpp
+++ b/src/kingcupslip/core/log_event.cpp
@@ -70,6 +70,8 @@
       {event_id::run_silent, "run_silent", event_level::warning},
       {event_id::caller_memory_full, "caller_memory_full",
        event_level::warning},
+      {event_id::outcomes_counted, "outcomes_counted", event_level::info},
+      {event_id::target_load, "target_load", event_level::info},
       {event_id::rollout_ordered, "rollout_ordered", event_level::info},
       {event_id::rollout_started, "rollout_started", event_level::info},
       {event_id::rollout_switching, "rollout_switching", event_level::info},
--- a/src/kingcupslip/core/log_event.hpp
+++ b/src/kingcupslip/core/log_event.hpp
@@ -70,6 +70,8 @@
   answer_incomplete = 707,
   run_silent = 708,
   caller_memory_full = 709,
+  outcomes_counted = 710,
+  target_load = 711,
   rollout_ordered = 800,
   rollout_started = 801,
   rollout_switching = 802,
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -32,7 +32,8 @@
 
 routed_entry::routed_entry(dependencies d, const clock_reading& clock)
     : m_dependencies(std::move(d)), m_clock(clock),
-      m_rate_limiter(m_dependencies.quota.make_token_source(), clock) {
+      m_rate_limiter(m_dependencies.quota.make_token_source(), clock),
+      m_summary(m_dependencies.log) {
   m_dependencies.quota.set_on_grant([this](const std::string& team) {
     m_rate_limiter.on_tokens_available(team);
   });
@@ -266,6 +267,8 @@
     m_dependencies.local_target.on_nested_pressure(o.pressure);
   }
   m_counts.on_outcome({e->team, e->route_name}, o);
+  m_summary.on_outcome(e->route_name, e->nested, o,
+                       m_clock.now - e->arrived_at);
   log_result(*e, o);
   e->job.reset();
   const outcome_handler handler = std::move(e->handler);
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -5,6 +5,7 @@
 #include "kingcupslip/core/desired_state.hpp"
 #include "kingcupslip/core/dispatcher.hpp"
 #include "kingcupslip/core/outcome.hpp"
+#include "kingcupslip/core/outcome_summary.hpp"
 #include "kingcupslip/core/quarantine.hpp"
 #include "kingcupslip/core/rate_limiter.hpp"
 #include "kingcupslip/core/request_counters.hpp"
@@ -64,7 +65,10 @@
   /// Cancels the requests in progress of a connection that was closed.
   void on_caller_disconnected(std::uint64_t connection);
 
-  void tick() { m_rate_limiter.tick(); }
+  void tick() {
+    m_rate_limiter.tick();
+    m_summary.tick(m_clock.now);
+  }
 
   /// Limits the deadlines of new requests, and of further attempts of those in
   /// progress, to `answer_by`, when the process has to exit.
@@ -113,6 +117,7 @@
   const clock_reading& m_clock;
   rate_limiter m_rate_limiter;
   request_counters m_counts;
+  outcome_summary m_summary;
   /// Credit of each service for smooth weighted round robin, by route.
   std::map<std::string, std::map<std::string, double>> m_round_robin_credit;
   /// A pipelined connection has several.
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -78,7 +78,7 @@
                          {"rate_per_s", std::to_string(rate_per_s)},
                          {"failed_part", std::to_string(failed)}});
           }),
-      m_notices(m_hooks.log) {
+      m_notices(m_hooks.log), m_load_summary(m_hooks.log) {
   if (!m_options.protocol.is_not_run_answer) {
     m_options.protocol.is_not_run_answer = has_not_run_verdict;
   }
@@ -105,9 +105,9 @@
   w.queued_at = m_clock.now;
   const std::size_t body_bytes = request.body.size();
   m_body_bytes += body_bytes;
-  m_queued_calls.emplace(ticket, queued_call{std::move(request), deadline,
-                                             std::move(handler),
-                                             std::move(on_silent), body_bytes});
+  m_queued_calls.emplace(
+      ticket, queued_call{std::move(request), deadline, std::move(handler),
+                          std::move(on_silent), body_bytes, m_clock.now});
   std::vector<shed_request> to_shed;
   m_queue.offer(std::move(w), queue_capacity(), to_shed);
   shed(to_shed);
@@ -137,6 +137,7 @@
   m_body_bytes -= r.body_bytes;
   update_limits(r, result);
   m_refused_part.add(is_overload_answer(result) ? 1 : 0, m_clock.now);
+  m_load_summary.on_end(m_clock.now - r.started_at, is_overload_answer(result));
   const bool moved = result.end == exchange_end::answered &&
                      m_options.protocol.is_moved_answer &&
                      m_options.protocol.is_moved_answer(result);
@@ -328,6 +329,7 @@
 
 void target_stage::tick() {
   m_crash_detector.tick(m_clock.now);
+  m_load_summary.tick(limit(), m_clock.now);
   const bool silent = m_clock.now - m_announced_at > m_options.announce_timeout;
   if (m_ready && silent) {
     m_hooks.log(event_id::target_silent, {{"instance", m_instance}});
@@ -623,6 +625,7 @@
   m_run_by_ticket[ticket] = id;
   m_runs.emplace(id, std::move(r));
   ++m_started;
+  m_load_summary.on_start(m_clock.now - call.queued_at, busy(), m_queue.size());
   m_hooks.run(id, std::move(out));
 }
 
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -14,6 +14,7 @@
 #include "kingcupslip/core/quarantine.hpp"
 #include "kingcupslip/core/silence_detector.hpp"
 #include "kingcupslip/core/span_retry_budget.hpp"
+#include "kingcupslip/core/target_load_summary.hpp"
 #include "kingcupslip/core/target_notices.hpp"
 #include "kingcupslip/core/time.hpp"
 #include "kingcupslip/core/token_bucket.hpp"
@@ -273,6 +274,7 @@
     outcome_handler handler;
     silence_handler on_silent;
     std::size_t body_bytes = 0;
+    instant queued_at{0};
   };
   /// A request in progress at the target.
   struct run {
@@ -406,6 +408,7 @@
   /// nothing about the current one.
   std::uint64_t m_instance_number = 0;
   target_notices m_notices;
+  target_load_summary m_load_summary;
   std::uint64_t m_started = 0;
   std::size_t m_max_concurrency = 0;
   std::optional<cold_start_settings> m_cold_start = cold_start_settings{};
