Targets are kept below the concurrency at which they slow down

Callers saw chains fail at a load that the service below them could bear.

The announced number is an upper bound now; knee_detector compares runs that begin in the upper bands of concurrency with those of their kind below.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -196,6 +196,7 @@
     }
     m_crash_detector.on_instance_ended(instance_end::replaced, m_clock.now);
     m_limit.on_target_restart();
+    m_knee.on_target_restart();
     m_silence_detector.on_target_restart();
     ++m_instance_number;
     m_notices.on_new_instance(a.instance, a.start_time_ms, m_clock.now);
@@ -604,6 +605,7 @@
   r.idempotent = call.request.idempotent;
   r.cold = m_clock.now < cold_until();
   r.kind = call.request.host + first_segment(call.request.path);
+  r.running = busy() + 1;
   r.body_bytes = call.body_bytes;
   r.handler = std::move(call.handler);
   r.on_silent = std::move(call.on_silent);
@@ -694,6 +696,12 @@
     return;
   }
   m_limit.on_answer(m_clock.now - r.started_at, m_runs.size(), m_clock.now);
+  const bool makes_nested_calls = m_pressure_below.value(m_clock.now) > 0;
+  if (m_max_concurrency > 0 && !r.cold && !makes_nested_calls &&
+      result.status < http_status::internal_error) {
+    m_knee.on_answer(r.kind, m_clock.now - r.started_at, r.running,
+                     m_max_concurrency, m_clock.now);
+  }
 }
 
 void target_stage::report_end(const run& r, const target_result& result) const {
@@ -914,11 +922,12 @@
 }
 
 std::size_t target_stage::limit() const {
-  // A concurrency that the target announces is exact; otherwise the limit is
-  // learned.
+  // A concurrency that the target announces is an upper bound; without one the
+  // limit is learned.
   const std::size_t warm_limit =
       m_max_concurrency > 0
-          ? std::min(m_max_concurrency, m_options.max_in_flight)
+          ? std::min(m_knee.limit(m_max_concurrency, m_clock.now),
+                     m_options.max_in_flight)
           : m_limit.limit();
   return cold() ? std::min(warm_limit,
                            concurrency_at(m_cold_start_bucket.rate_per_s()))
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -7,6 +7,7 @@
 #include "kingcupslip/core/crash_detector.hpp"
 #include "kingcupslip/core/departed_instances.hpp"
 #include "kingcupslip/core/downstream_limit.hpp"
+#include "kingcupslip/core/knee_detector.hpp"
 #include "kingcupslip/core/log_event.hpp"
 #include "kingcupslip/core/outcome.hpp"
 #include "kingcupslip/core/pending_calls.hpp"
@@ -287,7 +288,8 @@
     std::uint64_t instance_number = 0;
     instant started_at{0};
     instant deadline{0};
-    std::string kind; ///< of the request, for the silence detector
+    std::string kind;        ///< of the request, for the silence detector
+    std::size_t running = 0; ///< runs when it started, itself included
     bool idempotent = true;
     bool cold = false; ///< the target was cold when it started
     bool cancelled = false;
@@ -381,6 +383,7 @@
   crash_detector m_crash_detector;
   silence_detector m_silence_detector;
   concurrency_limit m_limit;
+  knee_detector m_knee;
   downstream_limit m_downstream;
   pressure_gauge m_pressure_below;
   pressure_gauge m_refused_part; ///< of the runs, by the target itself
