Load is shed at the doors by priority, before chains begin

Callers of the more urgent status-check earned less than those of the less urgent plan-submit.

overload_level, beside each target, turns the work that arrives beyond what the target completes into a level, which replies carry up the chains. Who lets a caller's request in sheds by that level and the priority, for requests whose kind makes nested calls (nested_call_attribution).

--- a/src/kingcupslip/core/incoming_calls.cpp
+++ b/src/kingcupslip/core/incoming_calls.cpp
@@ -57,6 +57,8 @@
   reply.held_us =
       static_cast<std::uint32_t>((m_clock.now - arrived_at).count());
   reply.pressure = static_cast<float>(m_local_target.pressure());
+  reply.overload_level =
+      static_cast<float>(m_local_target.overload_level_of_chain());
   reply.target_answered = m_local_target.notices().answered();
   reply.notice = m_local_target.notices().to_report();
   wire::payloadUnion body;
--- a/src/kingcupslip/core/outcome.hpp
+++ b/src/kingcupslip/core/outcome.hpp
@@ -38,6 +38,9 @@
   /// On the target, or on what its nested calls need, relative to what these
   /// can take; 0: unknown.
   double pressure = 0;
+  /// How much load the target, or what its nested calls need, asks its callers
+  /// to shed.
+  double overload_level = 0;
   /// Whether the node beside the target has said how the run ended.
   bool reported = false;
   std::vector<header> headers;
--- a/src/kingcupslip/core/reply_codec.cpp
+++ b/src/kingcupslip/core/reply_codec.cpp
@@ -69,6 +69,7 @@
   out.retries_used = reply.retries_used;
   out.nested_overload = reply.overload_below;
   out.pressure = reply.pressure;
+  out.overload_level = reply.overload_level;
   out.reported = true;
   out.headers = from_wire(reply.headers);
   out.body = std::move(reply.body);
--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -149,6 +149,10 @@
   };
   job->done = [this, e](outcome o) { finish(e, std::move(o)); };
   e->job = job;
+  if (e->nested) {
+    e->counted_as_nested = true;
+    m_dependencies.local_target.on_nested_started();
+  }
   m_dependencies.dispatch.dispatch(job);
 }
 
@@ -259,12 +263,16 @@
   if (sends_retry_after) {
     o.retry_after = std::max(o.retry_after, retry_after_for(*e));
   }
+  if (e->counted_as_nested) {
+    m_dependencies.local_target.on_nested_ended();
+  }
   if (e->nested &&
       (info_of(o.refusal_reason).counts_as_overload || o.nested_overload)) {
     m_dependencies.local_target.on_nested_overload();
   }
   if (e->nested && o.pressure > 0) {
-    m_dependencies.local_target.on_nested_pressure(o.pressure);
+    m_dependencies.local_target.on_nested_pressure(o.pressure,
+                                                   o.overload_level);
   }
   m_counts.on_outcome({e->team, e->route_name}, o);
   m_summary.on_outcome(e->route_name, e->nested, o,
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -94,7 +94,8 @@
     /// Presumed to be a nested call made by the local target: if there are
     /// teams, callers other than targets have a key.
     bool nested = false;
-    std::uint64_t digest = 0; ///< of method, host, path, team and body
+    bool counted_as_nested = false; ///< by the target stage, until the end
+    std::uint64_t digest = 0;       ///< of method, host, path, team and body
     bool took_quota_token = false;
     bool caller_disconnected = false;
     instant arrived_at{0};
--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -31,6 +31,8 @@
 /// leaves, or was taken out of service.
 constexpr duration max_start_after_leaving = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds shed_retry_after{1000};
+/// A level that sheds next to nothing; averages do not reach 0.
+constexpr double min_effective_level = 0.02;
 /// A smaller part of refusals is chance.
 constexpr double min_refused_part = 0.05;
 constexpr double max_refused_part = 0.75;
@@ -53,6 +55,11 @@
   return path.substr(0, path.find('/', 1));
 }
 
+/// What requests of the same work have in common.
+std::string kind_of(const wire::callT& request) {
+  return request.host + first_segment(request.path);
+}
+
 bool is_overload_answer(const target_result& r) {
   return r.end == exchange_end::answered &&
          (r.status == http_status::unavailable ||
@@ -90,7 +97,12 @@
   const std::uint64_t ticket = ++m_last_id;
   if (const std::optional<reason> refused_for =
           check_admission(request, deadline)) {
-    handler(refusal(*refused_for, verdict::not_run, shed_retry_after));
+    // Callers that are shed for a service below may return as soon as their
+    // time limit suggests: the part that is let in does not depend on it.
+    const std::chrono::milliseconds retry_after =
+        *refused_for == reason::overloaded_below ? std::chrono::milliseconds(0)
+                                                 : shed_retry_after;
+    handler(refusal(*refused_for, verdict::not_run, retry_after));
     return ticket;
   }
   waiting_request w;
@@ -138,6 +150,11 @@
   update_limits(r, result);
   m_refused_part.add(is_overload_answer(result) ? 1 : 0, m_clock.now);
   m_load_summary.on_end(m_clock.now - r.started_at, is_overload_answer(result));
+  m_level.on_run_ended(m_clock.now - r.started_at);
+  m_attribution.on_run_ended(r.kind,
+                             result.end == exchange_end::answered &&
+                                 result.status >= http_status::internal_error,
+                             m_clock.now);
   const bool moved = result.end == exchange_end::answered &&
                      m_options.protocol.is_moved_answer &&
                      m_options.protocol.is_moved_answer(result);
@@ -172,7 +189,11 @@
   o.retries_used = m_span_retry_budgets.close(r.span_id);
   o.nested_overload = failed_on_nested_overload(r, o);
   if (!r.route.empty() && !r.cancelled) {
-    m_downstream.on_end(r.route, r.rank, o.nested_overload, m_clock.now);
+    // What is short of room asks for less by its level, for all routes alike.
+    const bool level_answers_it =
+        m_level_below.value(m_clock.now) > min_effective_level;
+    m_downstream.on_end(r.route, r.rank, o.nested_overload && !level_answers_it,
+                        m_clock.now);
   }
   r.handler(std::move(o));
   start_queued();
@@ -331,6 +352,7 @@
 void target_stage::tick() {
   m_crash_detector.tick(m_clock.now);
   m_load_summary.tick(limit(), m_clock.now);
+  m_level.update(capacity(), m_queue.size(), m_clock.now);
   const bool silent = m_clock.now - m_announced_at > m_options.announce_timeout;
   if (m_ready && silent) {
     m_hooks.log(event_id::target_silent, {{"instance", m_instance}});
@@ -526,6 +548,10 @@
   if (cold() && !m_cold_start) {
     return reason::starting;
   }
+  if (sheds_for_chain(request)) {
+    return reason::overloaded_below;
+  }
+  m_level.on_arrival();
   const std::size_t ahead =
       m_queue.count_ahead(rank_of(request), request.team, request.weight);
   const duration longest_wait = max_wait(deadline);
@@ -552,6 +578,13 @@
   return std::nullopt;
 }
 
+bool target_stage::sheds_for_chain(const wire::callT& request) {
+  return !request.route.empty() &&
+         m_attribution.makes_calls(kind_of(request), m_clock.now) &&
+         !m_shedder.admit(request.route, rank_of(request),
+                          m_level_below.value(m_clock.now));
+}
+
 bool target_stage::has_room_for_body(std::size_t body_bytes) const {
   const std::size_t reserve = body_bytes > m_options.large_body_bytes
                                   ? m_options.max_body_bytes / 4
@@ -604,7 +637,7 @@
   r.deadline = std::min(call.deadline, m_finish_by);
   r.idempotent = call.request.idempotent;
   r.cold = m_clock.now < cold_until();
-  r.kind = call.request.host + first_segment(call.request.path);
+  r.kind = kind_of(call.request);
   r.running = busy() + 1;
   r.body_bytes = call.body_bytes;
   r.handler = std::move(call.handler);
@@ -625,6 +658,7 @@
   out.time_left = left + m_options.answer_grace;
   out.body = std::move(call.request.body);
   m_run_by_ticket[ticket] = id;
+  m_attribution.on_run_started(r.kind);
   m_runs.emplace(id, std::move(r));
   ++m_started;
   m_load_summary.on_start(m_clock.now - call.queued_at, busy(), m_queue.size());
@@ -941,14 +975,21 @@
              : limit();
 }
 
+double target_stage::load() const {
+  return static_cast<double>(busy() + m_queue.size()) /
+         static_cast<double>(std::max<std::size_t>(1, capacity()));
+}
+
+double target_stage::overload_level_of_chain() const {
+  return std::max(m_level.value(), m_level_below.value(m_clock.now));
+}
+
 double target_stage::pressure() const {
-  const double load = static_cast<double>(busy() + m_queue.size()) /
-                      static_cast<double>(std::max<std::size_t>(1, capacity()));
   // A target that refuses a part of its requests bears the rest only.
   const double refused =
       std::min(max_refused_part, m_refused_part.value(m_clock.now));
   const double by_refusals = refused > min_refused_part ? 1 / (1 - refused) : 0;
-  return std::max({load, by_refusals, m_pressure_below.value(m_clock.now)});
+  return std::max({load(), by_refusals, m_pressure_below.value(m_clock.now)});
 }
 
 std::size_t target_stage::max_running() const {
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -9,7 +9,9 @@
 #include "kingcupslip/core/downstream_limit.hpp"
 #include "kingcupslip/core/knee_detector.hpp"
 #include "kingcupslip/core/log_event.hpp"
+#include "kingcupslip/core/nested_call_attribution.hpp"
 #include "kingcupslip/core/outcome.hpp"
+#include "kingcupslip/core/overload_level.hpp"
 #include "kingcupslip/core/pending_calls.hpp"
 #include "kingcupslip/core/pressure_gauge.hpp"
 #include "kingcupslip/core/quarantine.hpp"
@@ -224,11 +226,21 @@
 
   /// A nested call of the target was refused because of overload, by this node
   /// or further downstream.
-  void on_nested_overload() { m_nested_overload_at = m_clock.now; }
-  /// The reply to a nested call of the target reported this pressure.
-  void on_nested_pressure(double pressure) {
+  void on_nested_overload() {
+    m_nested_overload_at = m_clock.now;
+    m_attribution.on_call_refused(m_clock.now);
+  }
+  /// A nested call of the target began, or ended.
+  void on_nested_started() { m_attribution.on_call_started(m_clock.now); }
+  void on_nested_ended() { m_attribution.on_call_ended(); }
+  /// The reply to a nested call of the target reported this pressure, and how
+  /// much load its callers should shed.
+  void on_nested_pressure(double pressure, double level) {
     m_pressure_below.add(pressure, m_clock.now);
+    m_level_below.add(level, m_clock.now);
   }
+  /// Of the target, or of what its nested calls need, whichever is greater.
+  double overload_level_of_chain() const;
   /// On the target, or on what its nested calls need, whichever is greater.
   double pressure() const;
 
@@ -303,6 +315,8 @@
 
   std::optional<reason> check_admission(const wire::callT& request,
                                         instant deadline);
+  /// Whether a request is shed because of overload below the target.
+  bool sheds_for_chain(const wire::callT& request);
   void start(std::uint64_t ticket, queued_call call);
   void start_queued();
   void shed(const std::vector<shed_request>& to_shed);
@@ -341,6 +355,8 @@
   duration max_wait(instant deadline) const;
   /// Time until a request with `ahead` others before it in the queue starts.
   duration expected_wait(std::size_t ahead) const;
+  /// Requests in progress or queued, relative to the concurrency.
+  double load() const;
   /// The number of requests that `rate_per_s` keeps busy.
   std::size_t concurrency_at(double rate_per_s) const;
   /// Whether the target is cold and bears fewer requests for that, as far as is
@@ -386,6 +402,10 @@
   knee_detector m_knee;
   downstream_limit m_downstream;
   pressure_gauge m_pressure_below;
+  pressure_gauge m_level_below; ///< overload levels, from the same replies
+  overload_level m_level;
+  priority_shedder m_shedder;
+  nested_call_attribution m_attribution;
   pressure_gauge m_refused_part; ///< of the runs, by the target itself
   admission_queue m_queue;
   span_retry_budget m_span_retry_budgets;
--- a/src/kingcupslip/daemon/metrics.cpp
+++ b/src/kingcupslip/daemon/metrics.cpp
@@ -100,6 +100,8 @@
                static_cast<double>(target.queued()));
   append_gauge(out, "kingcupslip_target_rate_limit",
                target.notices().current().rate_limit_per_s.value_or(0));
+  append_gauge(out, "kingcupslip_overload_level",
+               target.overload_level_of_chain());
   append_counter(out, "kingcupslip_target_started_total", target.started());
 }
 
