Doors open faster once the services below have room

They begin at two and grow to four times in a good window while the reported pressure leaves room; the level bounds what that can overshoot.

call_graph.chains_are_let_in_again_soon_after_refusals_below_have_ended failed before and passes; without this change it fails with the two before it.

--- a/src/kingcupslip/core/downstream_limit.cpp
+++ b/src/kingcupslip/core/downstream_limit.cpp
@@ -23,14 +23,14 @@
 constexpr double careful_range_low = 0.8;
 constexpr double careful_range_high = 1.1;
 /// Admits enough requests to detect recovery.
-constexpr double min_rate_per_s = 1;
+constexpr double min_rate_per_s = 2;
 /// A limit above this multiple of the admitted rate is removed.
 constexpr double removal_headroom_factor = 2;
 constexpr double burst_s = 0.2;
 /// Up to this pressure the services below have room for all of the growth.
 constexpr double free_pressure = 0.85;
 /// Growth by one good window up to that pressure.
-constexpr double free_growth_factor = 2;
+constexpr double free_growth_factor = 4;
 
 } // namespace
 
