All changes of one transaction on marks are applied

Rows of a transaction have one version; the first change raised the position, and the second was passed over as known, by nodes and by gossip alike.

out_marks.all_changes_of_one_transaction_count failed before.

--- a/src/kingcupslip/core/out_marks.cpp
+++ b/src/kingcupslip/core/out_marks.cpp
@@ -35,7 +35,8 @@
 
 void out_marks::apply_change(const std::string& data_centre, store_position at,
                              bool removed) {
-  if (!(m_position < at)) {
+  // Changes of one transaction have the same position.
+  if (at < m_position) {
     return;
   }
   m_position = at;
--- a/src/kingcupslip/core/out_marks.hpp
+++ b/src/kingcupslip/core/out_marks.hpp
@@ -26,7 +26,7 @@
 
   /// Applies all marks as of a position. An older position is ignored.
   void apply_all(store_position at, mark_versions marks, instant now);
-  /// Applies one change. One that is not newer than the position is ignored.
+  /// Applies one change. One that is older than the position is ignored.
   void apply_change(const std::string& data_centre, store_position at,
                     bool removed);
   bool settling() const { return m_settled_at != instant(0); }
--- a/tests/core/out_marks_test.cpp
+++ b/tests/core/out_marks_test.cpp
@@ -57,3 +57,18 @@
   marks.apply_change("dc-a", {2, 8}, true);
   CHECK_FALSE(is_out("dc-a"));
 }
+
+// Of two data centres that were taken out in one transaction, the second one
+// went on getting requests.
+TEST(out_marks, all_changes_of_one_transaction_count) {
+  marks.apply_all({1, 5}, {}, now);
+  marks.apply_change("dc-a", {1, 9}, false);
+  marks.apply_change("dc-b", {1, 9}, false);
+  CHECK(is_out("dc-a"));
+  CHECK(is_out("dc-b"));
+  marks.apply_change("dc-a", {1, 12}, true);
+  marks.apply_change("dc-c", {1, 12}, false);
+  CHECK_FALSE(is_out("dc-a"));
+  CHECK(is_out("dc-b"));
+  CHECK(is_out("dc-c"));
+}
