A goodbye counts for earlier starts of its instance

What is recorded is now applied to the current instance, as after a read of the table.

routed_node.a_goodbye_counts_for_an_earlier_start_of_its_instance failed before.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -290,6 +290,10 @@
     // Announced to an earlier process of this node.
     m_notices.on_new_instance(instance, left_start_time_ms, m_clock.now);
     m_notices.on_goodbye(m_clock.now);
+  } else {
+    // The instance may have started again under its name without having been
+    // announced since.
+    check_departed();
   }
   return true;
 }
--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -276,6 +276,22 @@
   CHECK(f.at("a1").target().ready());
 }
 
+// The goodbye of an instance that had started again under its name was not
+// acted on if it came before its first announcement.
+TEST(routed_node, a_goodbye_counts_for_an_earlier_start_of_its_instance) {
+  routed_fleet f(31);
+  build_routed_fleet(f, 2);
+  f.announcing = false;
+  CHECK(f.at("a1").target().ready());
+  f.at("a1").on_target_leave("a1-1", 2);
+  CHECK_FALSE(f.at("a1").target().ready());
+  const std::uint64_t before = f.target("a1").total_runs;
+  for (int i = 0; i < 20; ++i) {
+    f.request_and_wait("a1", "/safe/x", "k");
+  }
+  LONGS_EQUAL(before, f.target("a1").total_runs);
+}
+
 TEST(routed_node, both_sides_of_a_partition_rejoin) {
   routed_fleet f(14);
   build_routed_fleet(f, 3);
