--- a/src/kingcupslip/core/routed_entry.cpp
+++ b/src/kingcupslip/core/routed_entry.cpp
@@ -309,15 +309,19 @@
   }
   std::map<std::string, double>& credit = m_round_robin_credit[route.name];
   double total = 0;
-  const weighted_service* best = nullptr;
   for (const weighted_service& it : route.services) {
     total += it.weight;
-    credit[it.service] += it.weight;
+  }
+  // In requests, so that what is left over means the same after a change of the
+  // weights, whatever their scale.
+  const weighted_service* best = nullptr;
+  for (const weighted_service& it : route.services) {
+    credit[it.service] += total > 0 ? it.weight / total : 0;
     if (best == nullptr || credit[it.service] > credit[best->service]) {
       best = &it;
     }
   }
-  credit[best->service] -= total;
+  credit[best->service] -= 1;
   return best->service;
 }
 
--- a/src/kingcupslip/core/routed_entry.hpp
+++ b/src/kingcupslip/core/routed_entry.hpp
@@ -119,7 +119,8 @@
   rate_limiter m_rate_limiter;
   request_counters m_counts;
   outcome_summary m_summary;
-  /// Credit of each service for smooth weighted round robin, by route.
+  /// Credit of each service for smooth weighted round robin, by route, in
+  /// requests.
   std::map<std::string, std::map<std::string, double>> m_round_robin_credit;
   /// A pipelined connection has several.
   std::unordered_multimap<std::uint64_t, active_request_ptr> m_by_connection;
--- a/tests/core/routed_node_test.cpp
+++ b/tests/core/routed_node_test.cpp
@@ -292,6 +292,29 @@
   LONGS_EQUAL(before, f.target("a1").total_runs);
 }
 
+// Credit left over from weights of another scale was spent on one service for
+// as long as the new weights took to outweigh it.
+TEST(routed_node, changed_weights_count_at_once_whatever_their_scale) {
+  routed_fleet f(32);
+  route_table::content routes = simple_routes();
+  routes.routes[0].services = {{"svc", 70}, {"other", 30}};
+  build_routed_fleet(f, 2, routes);
+  f.add("a3", "dc-a", "other");
+  f.run_for(seconds(3));
+  for (int i = 0; i < 22; ++i) {
+    f.request_and_wait("a1", "/safe/x", "k");
+  }
+  routes.routes[0].services = {{"svc", 0.01}, {"other", 0.99}};
+  f.write_routes(routes);
+  f.run_for(seconds(2));
+  const std::uint64_t before = target_runs(f, {"a1", "a2", "b1", "b2"});
+  for (int i = 0; i < 100; ++i) {
+    LONGS_EQUAL(200, f.request_and_wait("a1", "/safe/x", "k").status);
+  }
+  const std::uint64_t runs = target_runs(f, {"a1", "a2", "b1", "b2"}) - before;
+  CHECK(runs <= 3);
+}
+
 TEST(routed_node, both_sides_of_a_partition_rejoin) {
   routed_fleet f(14);
   build_routed_fleet(f, 3);
