Requests that wait for a connection are withdrawn from a leaving target

Only queued requests were refused for a leaving target. One second after it has said that it leaves, the requests that were not written yet end as not run, and may go to another target.

--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -166,7 +166,7 @@
     log_failed_run(r, result, moved);
   }
   const bool unreachable =
-      result.end == exchange_end::not_connected && !r.cancelled;
+      result.end == exchange_end::not_connected && !r.cancelled && !r.withdrawn;
   m_instance_disproved |= moved && r.instance_number == m_instance_number;
   if (moved || unreachable) {
     // No requests are sent until the target announces itself again.
@@ -404,6 +404,22 @@
     m_last_in_service = m_clock.now;
   } else if (m_clock.now - m_last_in_service >= max_start_after_leaving) {
     refuse_queued(reason::draining);
+    withdraw_unsent();
+  }
+}
+
+void target_stage::withdraw_unsent() {
+  if (!m_hooks.withdraw) {
+    return;
+  }
+  std::vector<std::uint64_t> to_withdraw;
+  for (std::pair<const std::uint64_t, run>& it : m_runs) {
+    if (!std::exchange(it.second.withdrawn, true)) {
+      to_withdraw.push_back(it.first);
+    }
+  }
+  for (const std::uint64_t it : to_withdraw) {
+    m_hooks.withdraw(it);
   }
 }
 
@@ -788,7 +804,8 @@
   }
   if (moved) {
     m_crash_detector.on_instance_ended(instance_end::silent, m_clock.now);
-  } else if (result.end == exchange_end::not_connected && !r.cancelled) {
+  } else if (result.end == exchange_end::not_connected && !r.cancelled &&
+             !r.withdrawn) {
     m_crash_detector.on_instance_ended(instance_end::refused, m_clock.now);
   }
 }
--- a/src/kingcupslip/core/target_stage.hpp
+++ b/src/kingcupslip/core/target_stage.hpp
@@ -124,6 +124,9 @@
   /// Aborts the exchange of a run; `on_result` is still called.
   std::function<void(std::uint64_t run)> cancel;
   event_sink log;
+  /// Aborts the exchange of a run if the request has not been sent to the
+  /// target yet; may be null.
+  std::function<void(std::uint64_t run)> withdraw{};
 };
 
 /// How the target ended a run. Refusals, runs that were cancelled, runs of a
@@ -308,6 +311,9 @@
     bool silent = false;   ///< the target does not work on it
     bool ended = false;    ///< its result is being handled
     bool outlived = false; ///< another instance runs at the address now
+    /// The target leaves, and must not get the request any more if it has not
+    /// been sent.
+    bool withdrawn = false;
     std::size_t body_bytes = 0;
     outcome_handler handler;
     silence_handler on_silent;
@@ -375,6 +381,8 @@
   /// Refuses queued requests once the target has been leaving, or out of
   /// service, for too long to send it more.
   void refuse_for_leaving_target();
+  /// Ends the runs that still wait for a connection to the target.
+  void withdraw_unsent();
   /// Refuses queued requests that can no longer finish before their deadline,
   /// or before the process has to exit.
   void shed_unfinishable();
--- a/src/kingcupslip/daemon/daemon_common.hpp
+++ b/src/kingcupslip/daemon/daemon_common.hpp
@@ -70,6 +70,7 @@
   };
   out.cancel = [&target](std::uint64_t run) { target.cancel(run); };
   out.log = log;
+  out.withdraw = [&target](std::uint64_t run) { target.withdraw(run); };
   return out;
 }
 
--- a/src/kingcupslip/net/http_client.cpp
+++ b/src/kingcupslip/net/http_client.cpp
@@ -133,6 +133,12 @@
             {}});
   }
 
+  void withdraw() {
+    if (!m_written) {
+      cancel();
+    }
+  }
+
   std::size_t buffered_bytes() const { return m_buffered_bytes; }
 
   void detach() {
@@ -411,6 +417,16 @@
   }
 }
 
+void http_client::withdraw(std::uint64_t id) {
+  const auto it = m_exchanges.find(id);
+  if (it == m_exchanges.end()) {
+    return;
+  }
+  if (const std::shared_ptr<http_exchange> exchange = it->second.lock()) {
+    exchange->withdraw();
+  }
+}
+
 void http_client::limit_buffered_bytes() {
   while (m_buffered_bytes > m_max_buffered_bytes) {
     std::shared_ptr<http_exchange> largest;
--- a/src/kingcupslip/net/http_client.hpp
+++ b/src/kingcupslip/net/http_client.hpp
@@ -48,6 +48,10 @@
   /// ignored.
   void cancel(std::uint64_t id);
 
+  /// Ends the exchange as `not_connected` if its request was not written yet;
+  /// changes nothing otherwise.
+  void withdraw(std::uint64_t id);
+
   /// Number of connection attempts so far.
   std::uint64_t connections_opened() const { return m_connections_opened; }
 
--- a/tests/core/not_run_answer_test.cpp
+++ b/tests/core/not_run_answer_test.cpp
@@ -35,6 +35,7 @@
     };
     hooks.cancel = [](std::uint64_t) {};
     hooks.log = [](event_id, const event_fields&) {};
+    hooks.withdraw = [this](std::uint64_t run) { withdrawn.push_back(run); };
     stage = std::make_unique<target_stage>(options, hooks, clock, condemned);
     target_announcement a;
     a.instance = "i";
@@ -58,6 +59,7 @@
   std::uint64_t started = 0;
   std::uint64_t ticket = 0;
   outcome result;
+  std::vector<std::uint64_t> withdrawn;
 };
 
 } // namespace
@@ -96,6 +98,29 @@
   CHECK(r.stage->ready());
 }
 
+// A request whose connection to the target was opened late was sent after the
+// target's leaving had been acknowledged, and cut by its end.
+TEST(not_run_answer, an_unsent_request_is_withdrawn_from_a_leaving_target) {
+  answered_request r(false);
+  r.stage->tick();
+  target_announcement a;
+  a.instance = "i";
+  a.sequence = 2;
+  a.draining = true;
+  r.stage->on_announce(a);
+  r.clock.now += std::chrono::milliseconds(900);
+  r.stage->tick();
+  CHECK(r.withdrawn.empty());
+  r.clock.now += std::chrono::milliseconds(200);
+  r.stage->tick();
+  r.stage->tick();
+  LONGS_EQUAL(1, r.withdrawn.size());
+  LONGS_EQUAL(r.started, r.withdrawn.front());
+  r.stage->on_result(r.started, {exchange_end::not_connected, 0, {}, {}});
+  CHECK(verdict::not_run == r.result.execution);
+  CHECK(reason::target_unreachable == r.result.refusal_reason);
+}
+
 TEST(not_run_answer, a_refusal_needs_the_statement_of_its_target) {
   answered_request stated(false);
   CHECK(verdict::not_run ==
