--- a/src/kingcupslip/core/target_stage.cpp
+++ b/src/kingcupslip/core/target_stage.cpp
@@ -750,6 +750,7 @@
     return;
   }
   m_limit.on_answer(m_clock.now - r.started_at, m_runs.size(), m_clock.now);
+  // Runs that make nested calls take as long as the services below.
   const bool makes_nested_calls = m_pressure_below.value(m_clock.now) > 0;
   if (m_max_concurrency > 0 && !r.cold && !makes_nested_calls &&
       result.status < http_status::internal_error) {
